--- a/src/siskinpier/core/attempts.py
+++ b/src/siskinpier/core/attempts.py
@@ -3,11 +3,13 @@
 from typing import Final
 
 from .balance import ServerRuntime
-from .calls import ActiveCall, Attempt, Stage
-from .effects import AbandonAttempt, Effect, LogDecision, SendAttempt
+from .calls import ActiveCall, Attempt, Grant, Stage
+from .effects import AbandonAttempt, Effect, LogDecision, SendAttempt, SendMessage
 from .forwarding import note_forward
 from .health import record_failure
 from .members import Member
+from .messages import SlotEnd, SlotGrant, SlotUse
+from .slot_requests import withdraw
 from .state import HostState, ServiceRuntime
 from .verdict import AttemptFailure
 from .waiting import FORWARD_MARGIN_S
@@ -33,6 +35,15 @@
     )
     active.stage = Stage.SENT
     server.in_flight += 1
+    _log_route(active, server, reason, now, out)
+    if active.holder:
+        message = SlotGrant(call=active.holders_id, ask=active.ask, server=target)
+        out.append(
+            SendMessage(
+                host=active.holder, address=active.holder_address, message=message
+            )
+        )
+        return
     out.append(
         SendAttempt(
             call_id=active.call.call_id,
@@ -44,7 +55,6 @@
             connections=server.intent.connections,
         )
     )
-    _log_route(active, target, reason, out)
 
 
 def forward(
@@ -73,7 +83,7 @@
             claimed=active.call.key is not None and not active.idempotent,
         )
     )
-    _log_route(active, peer.name, "forward", out)
+    _log_forward(active, peer.name, out)
 
 
 def _get_forward_timeout_s(active: ActiveCall, now: float) -> float:
@@ -105,26 +115,51 @@
     if service is not None:
         service.queue.remove(active)
     attempt = active.attempt
+    if active.stage is Stage.ASKING:
+        withdraw(state, active.asked, active.call.call_id, active.ask, out)
     if attempt is None or active.stage not in (Stage.SENT, Stage.RELAYING):
         return
     out.append(AbandonAttempt(call_id=active.call.call_id, attempt=attempt.number))
-    if service is not None:
-        release(service, attempt)
+    release(service, attempt, out)
     if active.rival is not None:
         number = active.rival.number
         out.append(AbandonAttempt(call_id=active.call.call_id, attempt=number))
-        if service is not None:
-            release(service, active.rival)
+        release(service, active.rival, out)
         active.rival = None
 
 
-def release(service: ServiceRuntime, attempt: Attempt) -> None:
-    """Free the slot that an attempt holds."""
-    server = None if attempt.is_forward else service.servers.get(attempt.target)
+def release(
+    service: ServiceRuntime | None, attempt: Attempt, out: list[Effect]
+) -> None:
+    """Free the slot that an attempt holds, here and at the home that granted it."""
+    if attempt.grant is not None:
+        _end_grant(attempt, attempt.grant, out)
+        attempt.grant = None
+    if service is None or attempt.is_forward:
+        return
+    server = service.servers.get(attempt.target)
     if server is not None:
         server.in_flight = max(0, server.in_flight - 1)
 
 
+def _end_grant(attempt: Attempt, grant: Grant, out: list[Effect]) -> None:
+    if attempt.has_failed:
+        use = SlotUse.UNREACHABLE if attempt.is_unreachable else SlotUse.FAILED
+    elif attempt.latency_s is not None:
+        use = SlotUse.ANSWERED
+    else:
+        use = SlotUse.CANCELLED
+    message = SlotEnd(
+        host=grant.holder,
+        call=grant.call_id,
+        ask=grant.ask,
+        use=use,
+        latency_s=round(attempt.latency_s or 0.0, 4),
+        load=attempt.load,
+    )
+    out.append(SendMessage(host=grant.home, address=grant.address, message=message))
+
+
 def note_failure(
     service: ServiceRuntime,
     attempt: Attempt,
@@ -133,6 +168,8 @@
     failure: AttemptFailure | None = None,
 ) -> None:
     """Count a failed attempt against its backend server."""
+    attempt.has_failed = True
+    attempt.is_unreachable = failure in UNREACHABLE
     server = None if attempt.is_forward else service.servers.get(attempt.target)
     if server is None:
         return
@@ -167,17 +204,35 @@
     service.service_time_s += SERVICE_TIME_WEIGHT * (latency_s - service.service_time_s)
 
 
-def _log_route(active: ActiveCall, target: str, reason: str, out: list[Effect]) -> None:
-    out.append(
-        LogDecision(
-            event="route",
-            fields={
-                "call": active.call.call_id,
-                "service": active.call.service,
-                "target": target,
-                "reason": reason,
-                "urgency": active.urgency,
-                "attempt": len(active.attempts),
-            },
-        )
-    )
+def _log_route(
+    active: ActiveCall,
+    server: ServerRuntime,
+    reason: str,
+    now: float,
+    out: list[Effect],
+) -> None:
+    fields = _make_route_fields(active, server.intent.name, reason)
+    fields["in_flight"] = server.in_flight
+    fields["left_s"] = round(active.call.deadline - now, 3)
+    if server.report is not None:
+        fields["slowdown"] = server.slowdown
+        fields["slowdown_age_s"] = round(now - server.reported_at, 3)
+    out.append(LogDecision(event="route", fields=fields))
+
+
+def _log_forward(active: ActiveCall, home: str, out: list[Effect]) -> None:
+    fields = _make_route_fields(active, home, "forward")
+    out.append(LogDecision(event="route", fields=fields))
+
+
+def _make_route_fields(
+    active: ActiveCall, target: str, reason: str
+) -> dict[str, object]:
+    return {
+        "call": active.call.call_id,
+        "service": active.call.service,
+        "target": target,
+        "reason": reason,
+        "urgency": active.urgency,
+        "attempt": len(active.attempts),
+    }
--- a/src/siskinpier/core/balance.py
+++ b/src/siskinpier/core/balance.py
@@ -5,6 +5,7 @@
 from math import sqrt
 from typing import Final
 
+from .calls import LoadReport
 from .intents import BackendServer, ServerState
 
 FAILURE_PENALTY: Final = 8.0
@@ -38,6 +39,10 @@
     last_heard: float = 0.0
     probed_at: float = 0.0
     reported_load: int | None = None
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+    # How many times longer than usual work took at the last report.
+    slowdown: float = 1.0
 
 
 def get_slot_limit(server: ServerRuntime, now: float) -> int:
--- a/src/siskinpier/core/broadcast.py
+++ b/src/siskinpier/core/broadcast.py
@@ -5,6 +5,16 @@
 from .state import HostState
 
 
+def tell_domain(state: HostState, message: Message, out: list[Effect]) -> None:
+    """Send a message to every other host of this failure domain."""
+    own = state.identity
+    for member in state.members.values():
+        if member.name != own.name and member.failure_domain == own.failure_domain:
+            out.append(
+                SendMessage(host=member.name, address=member.peers, message=message)
+            )
+
+
 def tell_all(state: HostState, message: Message, out: list[Effect]) -> None:
     """Send a message to every known host but this one; it may be lost."""
     for member in state.members.values():
--- a/src/siskinpier/core/calls.py
+++ b/src/siskinpier/core/calls.py
@@ -2,9 +2,12 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Final
 
 from .verdict import Verdict
 
+DEFAULT_ATTEMPTS_LIMIT: Final = 3
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
@@ -15,6 +18,7 @@
     body. A call that is not `replayable` has a body that can be sent once.
     The host that forwards a call says whether it is `at_most_once`, whatever
     the intents here say, and whether its claim is held already (`claimed`).
+    A call that names a `virtual_host` has no service until its route is found.
     """
 
     call_id: str
@@ -30,17 +34,43 @@
     replayable: bool = True
     at_most_once: bool = False
     claimed: bool = False
+    virtual_host: str = ""
 
 
 class Stage(Enum):
     """The stage that an active call is in."""
 
     CLAIMING = auto()
+    ASKING = auto()
     QUEUED = auto()
     SENT = auto()
     RELAYING = auto()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """What a backend server reports of itself with an answer.
+
+    `slowdown` is how many times longer than usual its work takes now.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Grant:
+    """The home that granted an attempt its slot, and for which request."""
+
+    home: str
+    address: str
+    holder: str
+    call_id: str
+    ask: int
+
+
 @dataclass(slots=True, kw_only=True)
 class Attempt:
     """One dispatch to a backend server, or to another entry host."""
@@ -50,13 +80,20 @@
     is_forward: bool
     started: float
     has_failed: bool = False
+    is_unreachable: bool = False
+    grant: Grant | None = None
+    # The time that the answer took, once it is whole.
+    latency_s: float | None = None
+    load: LoadReport | None = None
 
 
 @dataclass(slots=True, kw_only=True)
 class ActiveCall:
     """A call between its arrival and its final answer.
 
-    `rival` is a second attempt that runs beside the latest one.
+    `rival` is a second attempt that runs beside the latest one. A call that
+    waits for a slot asked another home (`asked`) for it, in its `ask`th
+    request; a call that another host holds names that host (`holder`).
     """
 
     call: Call
@@ -70,6 +107,18 @@
     relayed_from: float = 0.0
     rival: Attempt | None = None
     hedge_timer_set: bool = False
+    attempts_limit: int = DEFAULT_ATTEMPTS_LIMIT
+    aim_s: float = 0.0
+    asked: str = ""
+    asked_at: float = 0.0
+    ask: int = 0
+    is_queued_there: bool = False
+    refused_by: set[str] = field(default_factory=set)
+    holder: str = ""
+    holder_address: str = ""
+    holders_id: str = ""
+    # Servers that the holder has tried.
+    avoided: frozenset[str] = frozenset()
 
     @property
     def attempt(self) -> Attempt | None:
@@ -90,4 +139,4 @@
 
     def get_tried(self) -> set[str]:
         """Return the targets that earlier attempts went to."""
-        return {attempt.target for attempt in self.attempts}
+        return {attempt.target for attempt in self.attempts} | self.avoided
--- a/src/siskinpier/core/cluster.py
+++ b/src/siskinpier/core/cluster.py
@@ -94,6 +94,8 @@
 def announce_revision(state: HostState, now: float, out: list[Effect]) -> None:
     """Tell neighbours at once of newer intents, and the host that accepted them."""
     own = state.identity
+    if state.settings.servers_register:
+        return  # Relays tell their failure domains.
     names = state.rings.get_fingers(own.name, own.failure_domain)
     names += state.rings.get_all_monitors(own.name)
     names.append(state.intents.changed_through)
@@ -157,6 +159,7 @@
         ),
         digest=make_digest(state, now),
         up_to_date=_sample_up_to_date(state),
+        servers_revision=state.registry.revision,
     )
 
 
@@ -187,7 +190,7 @@
         return
     state.last_heard = event.now
     member = state.members[beat.host]
-    if beat.revision > state.intents.revision:
+    if beat.revision > state.intents.revision and _may_ask(state, member):
         _ask_intents(state, member, beat.revision, event.now, out)
     for name in beat.up_to_date:
         other = state.members.get(name)
@@ -227,6 +230,18 @@
         refresh_placement(state, event.now, out)
 
 
+def _may_ask(state: HostState, member: Member) -> bool:
+    """Return True unless the relays will tell of newer intents soon.
+
+    Documents between failure domains cost most, so they go only to a host that
+    the platform does not answer.
+    """
+    if not state.settings.servers_register:
+        return True
+    is_near = member.failure_domain == state.identity.failure_domain
+    return is_near or not state.intents_known
+
+
 def _get_standing(member: Member | None) -> tuple[int, bool, bool] | None:
     if member is None or member.last_heard is None:
         return None
--- a/src/siskinpier/core/configuration.py
+++ b/src/siskinpier/core/configuration.py
@@ -27,7 +27,9 @@
     Written,
 )
 from .readiness import check_readiness
+from .registry import fill_service
 from .rendezvous import get_weight
+from .routes import make_route_table
 from .state import HostState, PendingOrder
 from .timers import OrderRetry
 
@@ -279,9 +281,12 @@
 def _rebuild_services(state: HostState, now: float, out: list[Effect]) -> None:
     old = state.services
     state.services = {
-        intent.name: make_service(intent, old.get(intent.name), now)
+        intent.name: make_service(
+            fill_service(state, intent), old.get(intent.name), now
+        )
         for intent in state.intents.services
     }
+    state.routes = make_route_table(state.intents.routes, state.routes)
     hosts = get_live_hosts(state, now)
     state.live = tuple(host.name for host in hosts)
     for service in state.services.values():
--- a/src/siskinpier/core/dispatch.py
+++ b/src/siskinpier/core/dispatch.py
@@ -15,6 +15,7 @@
 from .problems import make_no_server, make_overloaded
 from .quarantine import judge_quarantine
 from .refusals import forget, refuse
+from .slot_requests import ask_slot
 from .state import HostState, ServiceRuntime
 
 OVERTAKEN_LIMIT: Final = 8
@@ -39,7 +40,10 @@
         plan_hedge(service, active, now, out)
         report_spare(state, service, now, out)
         return
-    if active.call.hops == 0:
+    if active.call.hops == 0 and state.settings.grants_slots:
+        if not service.owned and ask_slot(state, service, active, now, out):
+            return
+    elif active.call.hops == 0:
         wait_s = _get_wait_s(service, active, now)
         peer = choose_peer(state, service, tried, wait_s)
         if peer is None and not service.owned:
@@ -152,16 +156,19 @@
     now: float,
     out: list[Effect],
 ) -> None:
-    """Serve a call from any backend server, as no home can be reached."""
-    server = choose_server(
-        service.servers.values(),
-        now,
-        active.get_tried(),
-        idempotent=active.idempotent,
-    )
-    if server is not None:
-        send(active, server, now, "no-home", out)
-        return
+    """Serve a call from any backend server, as no home can be reached.
+
+    Servers of this host's failure domain come first.
+    """
+    own = state.identity.failure_domain
+    near = [s for s in service.servers.values() if s.intent.failure_domain == own]
+    for servers in (near, service.servers.values()):
+        server = choose_server(
+            servers, now, active.get_tried(), idempotent=active.idempotent
+        )
+        if server is not None:
+            send(active, server, now, "no-home", out)
+            return
     forget(state, active, out)
     refuse(active, make_no_server(active.call.service, active.worst), out)
 
@@ -175,6 +182,9 @@
 ) -> None:
     usable = [s for s in service.owned if not is_draining(s)]
     if not usable:
+        is_own = active.call.hops == 0 and state.settings.grants_slots
+        if is_own and ask_slot(state, service, active, now, out):
+            return
         forget(state, active, out)
         refuse(active, make_no_server(active.call.service, active.worst), out)
         return
@@ -182,6 +192,9 @@
     is_late = is_too_late(service, active.urgency, deadline, now)
     is_full = len(service.queue) >= service.intent.queue_limit
     if is_late or (is_full and not _make_room(state, service, active, now, out)):
+        is_own = active.call.hops == 0 and state.settings.grants_slots
+        if is_own and ask_slot(state, service, active, now, out):
+            return
         forget(state, active, out)
         _refuse_overloaded(service, active, now, out)
         return
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -5,10 +5,10 @@
 
 from dataclasses import dataclass
 
-from .calls import Call
+from .calls import Call, LoadReport
 from .claim_messages import KeptReply
 from .intents import RoutingIntents
-from .messages import Message
+from .messages import Message, RegisteredServer
 from .orders import Order
 from .platform_results import ReadResult, WriteResult
 from .timers import Timer
@@ -44,6 +44,7 @@
     attempt: int
     status: int
     load: int | None = None
+    report: LoadReport | None = None
     draining: bool = False
     verdict: Verdict | None = None
     retry_after_s: float | None = None
@@ -79,6 +80,7 @@
     latency_s: float | None
     draining: bool = False
     bytes_used: int = 0
+    report: LoadReport | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,6 +144,40 @@
     now: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServersListed:
+    """The whole registry of backend servers, at a revision of the platform."""
+
+    now: float
+    revision: int
+    servers: tuple[RegisteredServer, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServersChanged:
+    """What changed in the registry up to a revision; `gone` are names."""
+
+    now: float
+    revision: int
+    servers: tuple[RegisteredServer, ...]
+    gone: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformLost:
+    """A watch of the platform broke."""
+
+    now: float
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformReached:
+    """A watch of the platform was confirmed."""
+
+    now: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectRead:
     """The result of a `ReadObject` effect."""
@@ -210,6 +246,10 @@
     | HostsListed
     | IntentsSeen
     | IntentsMissing
+    | ServersListed
+    | ServersChanged
+    | PlatformLost
+    | PlatformReached
     | ObjectRead
     | ObjectWritten
     | OrderGiven
--- a/src/siskinpier/core/forwarding.py
+++ b/src/siskinpier/core/forwarding.py
@@ -42,7 +42,7 @@
     state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
 ) -> None:
     """Tell the other homes of the room here, now or when the interval is over."""
-    if not service.owned or service.spare_timer_set:
+    if not service.owned or service.spare_timer_set or state.settings.grants_slots:
         return
     if not _is_news(service, _limit_spare(state, service, now)):
         return
--- a/src/siskinpier/core/hedging.py
+++ b/src/siskinpier/core/hedging.py
@@ -28,6 +28,8 @@
     """Set the time at which a call just sent counts as slow."""
     if service.intent.hedge_share == 0.0 or service.hedge_after_s == 0.0:
         return
+    if active.holder:
+        return
     if not active.idempotent or not active.call.replayable or len(active.attempts) > 1:
         return
     active.hedge_timer_set = True
@@ -69,7 +71,7 @@
     out.append(AbandonAttempt(call_id=active.call.call_id, attempt=rival.number))
     if service is None:
         return
-    release(service, rival)
+    release(service, rival, out)
     server = service.servers.get(rival.target)
     if server is not None:
         record_slow(server, now - rival.started)
@@ -83,7 +85,7 @@
     rival = active.rival
     if rival is None:
         return False
-    release(service, failed)
+    release(service, failed, out)
     out.append(AbandonAttempt(call_id=active.call.call_id, attempt=failed.number))
     active.rival = None
     active.make_current(rival)
--- a/src/siskinpier/core/intents.py
+++ b/src/siskinpier/core/intents.py
@@ -112,10 +112,54 @@
     not_run_statuses: tuple[Annotated[int, Ge(400), Le(599)], ...] = ()
     # Time that an Idempotency-Key is kept.
     key_age_s: Seconds = 86_400.0
+    # Connections that each backend server takes, where servers register themselves;
+    # 0 leaves it at what is usual.
+    server_connections: Annotated[int, Ge(0), Le(100_000)] = 0
     # Budget for probes.
     probes: ProbeBudget = field(default_factory=ProbeBudget)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WeightedService:
+    """A service that takes a part of a route's calls."""
+
+    __pydantic_config__: ClassVar[dict[str, Any]] = FORBID_EXTRA
+
+    # Name of the service.
+    service: Name
+    # Part of the calls, in proportion to the other weights of the route.
+    weight: Annotated[float, Ge(0.0), Le(1_000_000.0)] = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Lead the calls of a virtual host and path prefix to services.
+
+    Of the routes of a virtual host, the one with the longest prefix applies.
+    """
+
+    __pydantic_config__: ClassVar[dict[str, Any]] = FORBID_EXTRA
+
+    # Unique name of the route.
+    name: Name
+    # Virtual host that callers name in the Host field, in lower case.
+    virtual_host: Name
+    # Beginning of the paths that match.
+    path_prefix: str = "/"
+    # Services that share the calls by weight.
+    services: tuple[WeightedService, ...] = ()
+    # Whether a call may run more than once.
+    idempotent: bool = False
+    # Longest time until the final answer; 0 leaves it to the caller's deadline.
+    timeout_s: Annotated[float, Ge(0.0), Le(604_800.0)] = 0.0
+    # Time within which an answer is worth most to callers; 0 sets none.
+    aim_s: Annotated[float, Ge(0.0), Le(604_800.0)] = 0.0
+    # Backend servers that one call may be sent to.
+    attempts: Annotated[int, Ge(1), Le(100)] = 3
+    # Urgency of the calls; 0 is the most urgent (RFC 9218).
+    urgency: Annotated[int, Ge(0), Le(1_000)] = DEFAULT_URGENCY
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RoutingIntents:
     """The whole accepted configuration of the system.
@@ -143,6 +187,8 @@
     recent_updates: tuple[Name, ...] = ()
     # The declared services.
     services: tuple[ServiceIntent, ...] = ()
+    # Routes by virtual host and path, for callers that name no service.
+    routes: tuple[Route, ...] = ()
     # Entry hosts that get no new callers.
     leaving_hosts: tuple[Name, ...] = ()
     # What single orders changed since the last document; set by the system.
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -1,7 +1,9 @@
 """Messages between entry hosts, as data; `edge.codec` turns them into CBOR."""
 
 from dataclasses import dataclass
+from enum import StrEnum, unique
 
+from .calls import LoadReport
 from .claim_messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
 from .intents import RoutingIntents
 
@@ -28,6 +30,7 @@
     spare: tuple[tuple[str, int], ...] = ()
     digest: int = 0
     up_to_date: tuple[str, ...] = ()
+    servers_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,6 +116,122 @@
     leaving: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RegisteredServer:
+    """A backend server as it registered itself with the platform.
+
+    `started` tells its lives apart, in milliseconds since the epoch. It is slow
+    for another `warmup_left_s` seconds.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    is_draining: bool = False
+    warmup_left_s: float = 0.0
+    started: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServersNotice:
+    """Changes of the registry after revision `base`, or all of it."""
+
+    base: int
+    revision: int
+    servers: tuple[RegisteredServer, ...]
+    gone: tuple[str, ...]
+    is_whole: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServersRequest:
+    """Ask a peer for its whole registry."""
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayWord:
+    """A relay's watches of the platform work, up to these revisions."""
+
+    host: str
+    rank: int
+    intents_revision: int
+    servers_revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotRequest:
+    """Ask the home of a service for a slot; times left are in seconds."""
+
+    host: str
+    call: str
+    ask: int
+    service: str
+    urgency: int
+    idempotent: bool
+    left_s: float
+    aim_left_s: float
+    tried: tuple[str, ...]
+    fingerprint: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotGrant:
+    """The call may be sent once to a backend server."""
+
+    call: str
+    ask: int
+    server: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotQueued:
+    """The call waits at its home."""
+
+    call: str
+    ask: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotRefusal:
+    """The home gives the call no slot."""
+
+    call: str
+    ask: int
+    title: str
+    detail: str
+    retry_after_s: float | None
+
+
+@unique
+class SlotUse(StrEnum):
+    """How a granted slot was used."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    CANCELLED = "cancelled"
+    UNUSED = "unused"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotEnd:
+    """A slot is free again, or the request for one is withdrawn.
+
+    `load` is what the server reported with its answer.
+    """
+
+    host: str
+    call: str
+    ask: int
+    use: SlotUse
+    latency_s: float
+    load: LoadReport | None = None
+
+
 Message = (
     Heartbeat
     | SpareNotice
@@ -126,4 +245,12 @@
     | CrashReport
     | QuarantineRelease
     | ServerNotice
+    | ServersNotice
+    | ServersRequest
+    | RelayWord
+    | SlotRequest
+    | SlotGrant
+    | SlotQueued
+    | SlotRefusal
+    | SlotEnd
 )
--- a/src/siskinpier/core/probing.py
+++ b/src/siskinpier/core/probing.py
@@ -7,6 +7,7 @@
 from .events import ProbeAnswered
 from .health import record_probe
 from .limits import refresh_limits
+from .load_reports import take_load
 from .probe_budget import note_probe_bytes, refresh_bucket
 from .server_marks import note_server_leaving
 from .state import HostState, ServiceRuntime
@@ -15,12 +16,21 @@
 PROBE_INTERVAL_S: Final = 0.2
 PROBE_TIMEOUT_S: Final = 1.0
 FRESH_S: Final = 1.0
+# Servers that report their speed are asked again when the report is this old.
+REPORT_AGE_S: Final = 0.1
+REPORT_STEP_S: Final = 0.025
 # No call tells of a server that gets none.
 UNCALLED_WEIGHT: Final = 2.0
 
 
 def start_probes(state: HostState, now: float, out: list[Effect]) -> None:
     """Spend the probe budget on the owned servers that it matters most for."""
+    if state.settings.grants_slots:
+        for service in state.services.values():
+            refresh_limits(service)
+            _refresh_reports(state, service, now, out)
+        out.append(SetTimer(timer=ProbesDue(), at=now + REPORT_STEP_S))
+        return
     for service in state.services.values():
         refresh_limits(service)
         _probe_service(state, service, now, out)
@@ -34,6 +44,8 @@
     if service is None or server is None:
         return
     note_probe_bytes(service, event.bytes_used)
+    if event.report is not None:
+        take_load(server, event.report, event.now)
     is_healthy = event.latency_s is not None
     if is_healthy or event.draining:
         # A probe without an answer does not tell that a drain was called off.
@@ -49,6 +61,20 @@
         )
 
 
+def _refresh_reports(
+    state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
+) -> None:
+    """Ask the owned servers whose last report of their speed grew old."""
+    for server in service.owned:
+        if is_draining(server):
+            continue
+        age_s = now - max(server.reported_at, server.probed_at)
+        if age_s < REPORT_AGE_S:
+            continue
+        server.probed_at = now
+        out.append(_make_probe(service, server))
+
+
 def _probe_service(
     state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
 ) -> None:
--- a/src/siskinpier/core/problems.py
+++ b/src/siskinpier/core/problems.py
@@ -15,6 +15,16 @@
     )
 
 
+def make_unknown_route(virtual_host: str) -> Problem:
+    """Return the refusal of a call that no route matches."""
+    return Problem(
+        status=404,
+        title="Unknown route",
+        detail=f"no route of {virtual_host[:100]!r} matches the path",
+        verdict=Verdict.NOT_RUN,
+    )
+
+
 def make_not_ready(detail: str, verdict: Verdict = Verdict.NOT_RUN) -> Problem:
     """Return the refusal of a host that cannot serve calls now."""
     return Problem(
--- a/src/siskinpier/core/questions.py
+++ b/src/siskinpier/core/questions.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from .cluster import get_live_hosts, is_leaving
+from .cluster_revisions import get_hosts_behind
 from .explain import CALLS_KEPT
 from .intents import RECENT_UPDATES_KEPT
 from .language import LanguageError, parse_question
-from .members import is_live
 from .queries import (
     AskBudgets,
     AskClaims,
@@ -73,19 +73,6 @@
             return f"the host is {stage}"
 
 
-def get_hosts_behind(state: HostState, revision: int, now: float) -> list[str]:
-    """Return the live hosts not known to have a revision in force, by name."""
-    behind = [
-        member.name
-        for member in state.members.values()
-        if is_live(member, now, state.settings.heartbeat_s)
-        and member.revision < revision
-    ]
-    if state.intents.revision < revision:
-        behind.append(state.identity.name)
-    return sorted(behind)
-
-
 def _answer_by_service(
     state: HostState, question: AskServers | AskQuarantine | AskBudgets, now: float
 ) -> Rows | NotFound:
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -39,10 +39,14 @@
     ObjectWritten,
     OrderGiven,
     PeerRefused,
+    PlatformLost,
+    PlatformReached,
     ProbeAnswered,
     ReleaseQuarantine,
     ReplyFinished,
     ReplyStarted,
+    ServersChanged,
+    ServersListed,
     ShutdownRequested,
     TimerFired,
 )
@@ -57,7 +61,15 @@
     IntentsRequest,
     MembersNotice,
     QuarantineRelease,
+    RelayWord,
     ServerNotice,
+    ServersNotice,
+    ServersRequest,
+    SlotEnd,
+    SlotGrant,
+    SlotQueued,
+    SlotRefusal,
+    SlotRequest,
     SpareNotice,
 )
 from .probing import start_probes, take_probe
@@ -69,10 +81,32 @@
     take_report,
 )
 from .readiness import check_readiness, take_missing_intents
+from .registry import (
+    answer_servers_request,
+    drop_lapsed,
+    take_changed,
+    take_listed,
+    take_servers_notice,
+)
+from .relays import (
+    pass_on_intents,
+    step_relay,
+    take_lost,
+    take_reached,
+    take_word,
+)
 from .replies import fail_attempt, finish_reply, take_reply
 from .routing import cancel_call, expire_call, start_call
 from .server_marks import take_server_notice
 from .shutdown import start_shutdown, step_shutdown
+from .slots import (
+    check_slot,
+    take_end,
+    take_grant,
+    take_queued,
+    take_refusal as take_slot_refusal,
+    take_request,
+)
 from .soft_orders import give_soft_order
 from .state import HostState
 from .timers import (
@@ -83,9 +117,12 @@
     HeartbeatDue,
     HedgeDue,
     IntentsPollDue,
+    LapseDue,
     OrderRetry,
     ProbesDue,
+    RelayDue,
     ShutdownStep,
+    SlotDue,
     SpareDue,
 )
 
@@ -117,9 +154,21 @@
         case HostsListed():
             take_hosts(state, event, out)
         case IntentsSeen(now=now, version=version, intents=intents):
+            known = state.intents.revision
             take_intents(state, intents, version, now, out)
+            if state.settings.servers_register and state.intents.revision > known:
+                pass_on_intents(state, out)
         case IntentsMissing():
             take_missing_intents(state)
+        case ServersListed():
+            take_listed(state, event, out)
+            check_readiness(state, event.now, out)
+        case ServersChanged():
+            take_changed(state, event, out)
+        case PlatformLost():
+            take_lost(state, event, out)
+        case PlatformReached():
+            take_reached(state, event, out)
         case OrderGiven():
             if not give_soft_order(state, event, out):
                 start_order(state, event, out)
@@ -136,7 +185,10 @@
         case HostStarted(now=now):
             state.started = now
             _beat(state, now, out)
-            poll_intents(state, out)
+            if state.settings.servers_register:
+                step_relay(state, now, out)
+            else:
+                poll_intents(state, out)
             start_probes(state, now, out)
         case ShutdownRequested(now=now):
             start_shutdown(state, now, out)
@@ -147,7 +199,8 @@
 
 def _beat(state: HostState, now: float, out: list[Effect]) -> None:
     beat(state, now, out)
-    refresh_watchers(state, now, out)
+    if not state.settings.servers_register:
+        refresh_watchers(state, now, out)
     check_readiness(state, now, out)
 
 
@@ -172,6 +225,12 @@
             service = state.services.get(name)
             if service is not None:
                 send_due_spare(state, service, now, out)
+        case SlotDue(call_id=call_id):
+            check_slot(state, call_id, now, out)
+        case RelayDue():
+            step_relay(state, now, out)
+        case LapseDue():
+            drop_lapsed(state, now, out)
         case ClaimsDue(shard=shard):
             step_shard(state, shard, now, out)
         case ClaimRetry(call_id=call_id):
@@ -201,3 +260,20 @@
             take_release(state, message)
         case ServerNotice() as message:
             take_server_notice(state, message, event.now, out)
+        case SlotRequest() as message:
+            take_request(state, message, event.now, out)
+        case SlotGrant() as message:
+            take_grant(state, message, event.sender, event.now, out)
+        case SlotQueued() as message:
+            take_queued(state, message, event.sender)
+        case SlotRefusal() as message:
+            take_slot_refusal(state, message, event.sender, event.now, out)
+        case SlotEnd() as message:
+            take_end(state, message, event.now, out)
+        case ServersNotice() as message:
+            take_servers_notice(state, message, event.sender, event.now, out)
+            check_readiness(state, event.now, out)
+        case ServersRequest() as message:
+            answer_servers_request(state, message, out)
+        case RelayWord() as message:
+            take_word(state, message, event.now, out)
--- a/src/siskinpier/core/refusals.py
+++ b/src/siskinpier/core/refusals.py
@@ -3,9 +3,10 @@
 from dataclasses import replace
 
 from .calls import ActiveCall, Call
-from .effects import ClearTimer, Effect, LogDecision, RefuseCall
+from .effects import ClearTimer, Effect, LogDecision, RefuseCall, SendMessage
+from .messages import SlotRefusal
 from .state import HostState
-from .timers import CallDeadline, HedgeDue
+from .timers import CallDeadline, HedgeDue, SlotDue
 from .verdict import Problem, Verdict
 
 
@@ -15,6 +16,8 @@
     out.append(ClearTimer(timer=CallDeadline(call_id=active.call.call_id)))
     if active.hedge_timer_set:
         out.append(ClearTimer(timer=HedgeDue(call_id=active.call.call_id)))
+    if active.asked:
+        out.append(ClearTimer(timer=SlotDue(call_id=active.call.call_id)))
 
 
 def refuse(active: ActiveCall, problem: Problem, out: list[Effect]) -> None:
@@ -22,9 +25,26 @@
     if problem.verdict is Verdict.NOT_RUN:
         # The reason alone proves nothing about earlier attempts.
         problem = replace(problem, verdict=active.worst)
+    if active.holder:
+        _refuse_holder(active, problem, out)
+        return
     refuse_unseen(active.call, problem, out)
 
 
+def _refuse_holder(active: ActiveCall, problem: Problem, out: list[Effect]) -> None:
+    """Tell the host that holds a call that it gets no slot here."""
+    message = SlotRefusal(
+        call=active.holders_id,
+        ask=active.ask,
+        title=problem.title,
+        detail=problem.detail,
+        retry_after_s=problem.retry_after_s,
+    )
+    out.append(
+        SendMessage(host=active.holder, address=active.holder_address, message=message)
+    )
+
+
 def refuse_unseen(call: Call, problem: Problem, out: list[Effect]) -> None:
     """Refuse a call of which nothing is kept."""
     out.append(RefuseCall(call_id=call.call_id, problem=problem))
--- /dev/null
+++ b/src/siskinpier/core/registry.py
@@ -0,0 +1,239 @@
+"""Backend servers that register themselves with the platform.
+
+One relay in each failure domain watches the registry and tells the hosts of its
+domain; a host without word of a relay watches by itself. Revisions order what
+is heard, so the same change may come twice or by two ways.
+"""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Final
+
+from .broadcast import tell_domain
+from .cluster import get_live_hosts, make_service, place
+from .dispatch import drain_queue
+from .effects import Effect, LogDecision, SendMessage, SetTimer
+from .events import ServersChanged, ServersListed
+from .intents import BackendServer, ServerState, ServiceIntent
+from .messages import RegisteredServer, ServersNotice, ServersRequest
+from .state import HostState
+from .timers import LapseDue
+
+# Time for a server that lapsed during an outage to come back, seconds.
+LAPSE_GRACE_S: Final = 2.5
+# Declared to have this many connections until the configuration says more.
+DEFAULT_CONNECTIONS: Final = 250
+
+
+def take_listed(state: HostState, event: ServersListed, out: list[Effect]) -> None:
+    """Take in the whole registry as the platform listed it."""
+    registry = state.registry
+    if event.revision < registry.revision:
+        return
+    listed = {server.name: server for server in event.servers}
+    changed = [s for s in event.servers if registry.servers.get(s.name) != s]
+    missing = [name for name in registry.servers if name not in listed]
+    missing = _hold_lapsed(state, missing, event.now, out)
+    _take(state, event.revision, changed, missing, event.now, out)
+    servers = tuple(registry.servers.values())
+    _pass_on(state, registry.revision, servers, (), out, is_whole=True)
+
+
+def take_changed(state: HostState, event: ServersChanged, out: list[Effect]) -> None:
+    """Take in changes after the revision that is known here."""
+    registry = state.registry
+    base = registry.revision
+    if event.revision <= base:
+        return
+    gone = _hold_lapsed(state, event.gone, event.now, out)
+    _take(state, event.revision, event.servers, gone, event.now, out)
+    _pass_on(state, base, event.servers, tuple(gone), out, is_whole=False)
+
+
+def take_servers_notice(
+    state: HostState,
+    notice: ServersNotice,
+    sender: str,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Take in what a relay or a peer told; ask for all of it after a gap."""
+    registry = state.registry
+    if notice.revision <= registry.revision:
+        return
+    if not notice.is_whole and notice.base > registry.revision:
+        request_servers(state, sender, out)
+        return
+    gone: Iterable[str] = notice.gone
+    if notice.is_whole:
+        listed = {server.name for server in notice.servers}
+        gone = [name for name in registry.servers if name not in listed]
+    _take(state, notice.revision, notice.servers, gone, now, out)
+
+
+def request_servers(state: HostState, host: str, out: list[Effect]) -> None:
+    """Ask a peer for its whole registry."""
+    member = state.members.get(host)
+    if member is not None:
+        message = ServersRequest(host=state.identity.name)
+        out.append(SendMessage(host=host, address=member.peers, message=message))
+
+
+def answer_servers_request(
+    state: HostState, request: ServersRequest, out: list[Effect]
+) -> None:
+    """Tell a peer the whole registry."""
+    member = state.members.get(request.host)
+    registry = state.registry
+    if member is None or registry.revision == 0:
+        return
+    notice = ServersNotice(
+        base=0,
+        revision=registry.revision,
+        servers=tuple(registry.servers.values()),
+        gone=(),
+        is_whole=True,
+    )
+    out.append(SendMessage(host=member.name, address=member.peers, message=notice))
+
+
+def fill_service(state: HostState, intent: ServiceIntent) -> ServiceIntent:
+    """Return a service's intent with the servers that registered for it."""
+    if not state.settings.servers_register:
+        return intent
+    servers = tuple(
+        _make_server(server, intent)
+        for server in state.registry.servers.values()
+        if server.service == intent.name
+    )
+    return replace(intent, servers=servers)
+
+
+def refresh_services(
+    state: HostState, names: Iterable[str], now: float, out: list[Effect]
+) -> None:
+    """Rebuild services whose registered servers changed."""
+    hosts = get_live_hosts(state, now)
+    for name in sorted(names):
+        old = state.services.get(name)
+        if old is None:
+            continue
+        service = make_service(fill_service(state, old.intent), old, now)
+        state.services[name] = service
+        place(state, service, hosts)
+        drain_queue(state, service, now, out)
+
+
+def drop_lapsed(state: HostState, now: float, out: list[Effect]) -> None:
+    """Drop the servers that lapsed around an outage and did not come back."""
+    registry = state.registry
+    due = [name for name, at in registry.lapsed.items() if at <= now]
+    for name in due:
+        del registry.lapsed[name]
+    gone = tuple(name for name in due if name in registry.servers)
+    if not gone:
+        return
+    _take(state, registry.revision, (), gone, now, out)
+    base = registry.revision
+    _pass_on(state, base, (), gone, out, is_whole=False)
+
+
+def _hold_lapsed(
+    state: HostState, gone: Iterable[str], now: float, out: list[Effect]
+) -> list[str]:
+    """Return those of the entries gone that are not held for a while.
+
+    Entries lapse while the platform is away; servers that live write them again
+    soon after its return.
+    """
+    relay = state.relay
+    is_after_outage = now - relay.regained_at <= LAPSE_GRACE_S
+    if relay.lost_at is None and not is_after_outage:
+        return list(gone)
+    at = now + LAPSE_GRACE_S
+    lapsed = state.registry.lapsed
+    dropped = []
+    for name in gone:
+        server = state.registry.servers.get(name)
+        if server is None or server.is_draining:
+            dropped.append(name)
+        else:
+            lapsed.setdefault(name, at)
+    if lapsed:
+        out.append(SetTimer(timer=LapseDue(), at=min(lapsed.values()) + 0.01))
+    return dropped
+
+
+def _take(
+    state: HostState,
+    revision: int,
+    servers: Iterable[RegisteredServer],
+    gone: Iterable[str],
+    now: float,
+    out: list[Effect],
+) -> None:
+    registry = state.registry
+    touched: set[str] = set()
+    for name in gone:
+        old = registry.servers.pop(name, None)
+        if old is not None:
+            touched.add(old.service)
+            _log_server("gone", old, revision, out)
+    for server in servers:
+        old = registry.servers.get(server.name)
+        if old == server:
+            continue
+        registry.servers[server.name] = server
+        registry.lapsed.pop(server.name, None)
+        touched.add(server.service)
+        if old is not None:
+            touched.add(old.service)
+        if old is None or old.is_draining != server.is_draining:
+            standing = "draining" if server.is_draining else "ready"
+            _log_server(standing, server, revision, out)
+    registry.revision = revision
+    refresh_services(state, touched, now, out)
+
+
+def _pass_on(
+    state: HostState,
+    base: int,
+    servers: tuple[RegisteredServer, ...],
+    gone: tuple[str, ...],
+    out: list[Effect],
+    *,
+    is_whole: bool,
+) -> None:
+    """Tell the hosts of the failure domain what the platform told this one."""
+    notice = ServersNotice(
+        base=base,
+        revision=state.registry.revision,
+        servers=servers,
+        gone=gone,
+        is_whole=is_whole,
+    )
+    tell_domain(state, notice, out)
+
+
+def _make_server(server: RegisteredServer, intent: ServiceIntent) -> BackendServer:
+    return BackendServer(
+        name=server.name,
+        address=server.address,
+        failure_domain=server.failure_domain,
+        slots=server.slots,
+        connections=intent.server_connections or DEFAULT_CONNECTIONS,
+        state=ServerState.DRAINING if server.is_draining else ServerState.ACTIVE,
+    )
+
+
+def _log_server(
+    standing: str, server: RegisteredServer, revision: int, out: list[Effect]
+) -> None:
+    fields: dict[str, object] = {
+        "state": standing,
+        "service": server.service,
+        "server": server.name,
+        "address": server.address,
+        "revision": revision,
+    }
+    out.append(LogDecision(event="registered", fields=fields))
--- /dev/null
+++ b/src/siskinpier/core/relays.py
@@ -0,0 +1,110 @@
+"""Which hosts watch the platform for their failure domain.
+
+The first live host of a domain by rank is its relay: it watches, passes on what
+it hears, and tells several times a second that its watches work. Where that word
+stays away, the next hosts by rank begin to watch one after another, and the first
+whose watches work is heard in the relay's place.
+"""
+
+from typing import Final
+
+from .broadcast import tell_domain
+from .cluster import get_live_hosts
+from .effects import Effect, LogDecision, SetTimer, WatchIntents
+from .events import PlatformLost, PlatformReached
+from .messages import IntentsNotice, IntentsRequest, RelayWord
+from .registry import request_servers
+from .rendezvous import rank_nodes
+from .slot_requests import send_to
+from .state import HostState
+from .timers import RelayDue
+
+WORD_INTERVAL_S: Final = 0.3
+# Time without a relay's word until the next host by rank watches itself, and how
+# much longer each further host waits.
+SUBSTITUTE_AFTER_S: Final = 0.8
+SUBSTITUTE_STEP_S: Final = 0.25
+
+
+def step_relay(state: HostState, now: float, out: list[Effect]) -> None:
+    """Tell that the watches work, or begin or end to watch."""
+    relay = state.relay
+    rank = _get_rank(state, now)
+    patience_s = SUBSTITUTE_AFTER_S + SUBSTITUTE_STEP_S * (rank - 1)
+    is_unheard = now - relay.heard_at > patience_s
+    watching = rank == 0 or is_unheard
+    if watching != state.watching:
+        state.watching = watching
+        out.append(WatchIntents(watching=watching))
+        fields: dict[str, object] = {
+            "watching": watching,
+            "rank": rank,
+            "unheard_s": round(now - relay.heard_at, 3),
+        }
+        out.append(LogDecision(event="watch", fields=fields))
+    if state.watching and is_confirmed(state):
+        word = RelayWord(
+            host=state.identity.name,
+            rank=rank,
+            intents_revision=state.intents.revision,
+            servers_revision=state.registry.revision,
+        )
+        tell_domain(state, word, out)
+    out.append(SetTimer(timer=RelayDue(), at=now + WORD_INTERVAL_S))
+
+
+def is_confirmed(state: HostState) -> bool:
+    """Return True if the watches of this host work as far as it knows."""
+    return state.relay.confirmed_at > 0.0 and state.relay.lost_at is None
+
+
+def take_word(state: HostState, word: RelayWord, now: float, out: list[Effect]) -> None:
+    """Take in a relay's word; fetch what it knows and this host lacks."""
+    if not state.watching or word.rank < _get_rank(state, now):
+        state.relay.heard_at = now
+    if word.servers_revision > state.registry.revision:
+        request_servers(state, word.host, out)
+    if word.intents_revision > state.intents.revision:
+        request = IntentsRequest(
+            host=state.identity.name, revision=state.intents.revision
+        )
+        send_to(state, word.host, request, out)
+
+
+def take_lost(state: HostState, event: PlatformLost, out: list[Effect]) -> None:
+    """Note that the platform does not answer this host."""
+    if state.relay.lost_at is not None:
+        return
+    state.relay.lost_at = event.now
+    state.platform_fault = f"unavailable: {event.reason}"
+    fields: dict[str, object] = {"reason": event.reason}
+    out.append(LogDecision(event="platform-lost", fields=fields))
+
+
+def take_reached(state: HostState, event: PlatformReached, out: list[Effect]) -> None:
+    """Note that the platform answers this host."""
+    relay = state.relay
+    relay.confirmed_at = event.now
+    if relay.lost_at is None:
+        return
+    fields: dict[str, object] = {"after_s": round(event.now - relay.lost_at, 3)}
+    out.append(LogDecision(event="platform-regained", fields=fields))
+    relay.lost_at = None
+    relay.regained_at = event.now
+    state.platform_fault = ""
+
+
+def pass_on_intents(state: HostState, out: list[Effect]) -> None:
+    """Tell the failure domain of routing intents that this host's watch brought."""
+    if not state.watching or state.intents_version is None:
+        return
+    notice = IntentsNotice(version=state.intents_version, intents=state.intents)
+    tell_domain(state, notice, out)
+
+
+def _get_rank(state: HostState, now: float) -> int:
+    own = state.identity
+    hosts = get_live_hosts(state, now)
+    names = [h.name for h in hosts if h.failure_domain == own.failure_domain]
+    ranked = rank_nodes(f"watch/{own.failure_domain}", names)
+    return ranked.index(own.name) if own.name in ranked else len(ranked)
--- a/src/siskinpier/core/replies.py
+++ b/src/siskinpier/core/replies.py
@@ -3,12 +3,13 @@
 from typing import Final
 
 from .attempts import get_current, learn_service_time, note_failure, release
-from .calls import ActiveCall, Stage
+from .calls import ActiveCall, Attempt, Stage
 from .dispatch import drain_queue
-from .effects import CutReply, Effect, RelayReply
+from .effects import CutReply, Effect, LogDecision, RelayReply
 from .events import AttemptFailed, ReplyFinished, ReplyStarted
 from .health import record_success
 from .hedging import drop_rival, fall_back_to_rival, learn_hedge_time
+from .load_reports import take_load
 from .problems import make_attempt_failed
 from .refusals import forget, refuse
 from .retrying import note_verdict, try_again
@@ -35,6 +36,9 @@
             state, service, server, event.now, out, is_leaving=event.draining
         )
         server.reported_load = event.load
+        attempt.load = event.report
+        if event.report is not None:
+            take_load(server, event.report, event.now)
     verdict = get_reply_verdict(
         event.status, service.intent.not_run_statuses, event.verdict
     )
@@ -45,7 +49,6 @@
             note_verdict(active, Verdict.MAY_HAVE_RUN)
         drop_rival(service, active, event.now, out)
     if is_error and not attempt.is_forward:
-        attempt.has_failed = True
         note_failure(service, attempt, event.now, out)
     if is_error and fall_back_to_rival(service, active, attempt, out):
         note_verdict(active, verdict)
@@ -67,11 +70,13 @@
     attempt = active.attempt
     service = state.services.get(active.call.service)
     forget(state, active, out)
+    latency_s = event.now - attempt.started
+    attempt.latency_s = latency_s
+    _log_answer(active, attempt, event.now, out)
+    release(service, attempt, out)
     if service is None:
         return
-    release(service, attempt)
     if not attempt.is_forward:
-        latency_s = event.now - attempt.started
         server = service.servers.get(attempt.target)
         if server is not None and not attempt.has_failed:
             record_success(server, latency_s, event.now)
@@ -92,7 +97,7 @@
         out.append(CutReply(call_id=event.call_id))
         if service is not None:
             note_failure(service, active.attempt, event.now, out)
-            release(service, active.attempt)
+            release(service, active.attempt, out)
             drain_queue(state, service, event.now, out)
         return
     if service is None:
@@ -108,12 +113,29 @@
     if try_again(state, service, active, verdict, event.failure, event.now, out):
         drain_queue(state, service, event.now, out)
         return
-    release(service, active.attempt)
+    release(service, active.attempt, out)
     forget(state, active, out)
     refuse(active, make_attempt_failed(event.failure, active.worst), out)
     drain_queue(state, service, event.now, out)
 
 
+def _log_answer(
+    active: ActiveCall, attempt: Attempt, now: float, out: list[Effect]
+) -> None:
+    fields: dict[str, object] = {
+        "call": active.call.call_id,
+        "service": active.call.service,
+        "target": attempt.target,
+        "attempt": len(active.attempts),
+        "latency_s": round(now - attempt.started, 4),
+        "total_s": round(now - active.arrived, 4),
+    }
+    if attempt.load is not None:
+        fields["slowdown"] = attempt.load.slowdown
+        fields["running"] = attempt.load.running
+    out.append(LogDecision(event="answer", fields=fields))
+
+
 def _relay(
     active: ActiveCall, event: ReplyStarted, verdict: Verdict, out: list[Effect]
 ) -> None:
--- a/src/siskinpier/core/retrying.py
+++ b/src/siskinpier/core/retrying.py
@@ -1,7 +1,5 @@
 """Another attempt of a call, within the budget of its service."""
 
-from typing import Final
-
 from .attempts import release
 from .calls import ActiveCall
 from .dispatch import has_other_target, place_call
@@ -10,8 +8,6 @@
 from .state import HostState, ServiceRuntime
 from .verdict import Verdict, may_try_again
 
-ATTEMPTS_LIMIT: Final = 3
-
 
 def note_verdict(active: ActiveCall, verdict: Verdict) -> None:
     """Keep that an attempt may have run."""
@@ -35,7 +31,7 @@
     if active.call.hops > 0:
         # The first host of a call retries it, lest the tries of two multiply.
         return False
-    if not active.call.replayable or len(active.attempts) >= ATTEMPTS_LIMIT:
+    if not active.call.replayable or len(active.attempts) >= active.attempts_limit:
         return False
     if is_quarantined(state, active.call, now):
         return False
@@ -45,7 +41,7 @@
         return False
     attempt = active.attempt
     if attempt is not None:
-        release(service, attempt)
+        release(service, attempt, out)
         out.append(AbandonAttempt(call_id=active.call.call_id, attempt=attempt.number))
     out.append(
         LogDecision(
--- a/src/siskinpier/core/routing.py
+++ b/src/siskinpier/core/routing.py
@@ -6,18 +6,20 @@
 from .calls import ActiveCall, Stage
 from .claims import has_valid_key, needs_claim, start_claim
 from .dispatch import drain_queue, place_call
-from .effects import CutReply, Effect, SetTimer
+from .effects import CutReply, Effect, LogDecision, SetTimer
 from .events import CallArrived, CallCancelled
-from .intents import get_rule
+from .intents import Route, get_rule
 from .problems import (
     make_deadline_passed,
     make_host_ended,
     make_key_invalid,
     make_not_ready,
+    make_unknown_route,
     make_unknown_service,
 )
 from .quarantine import judge_quarantine
 from .refusals import forget, judge_unseen, refuse, refuse_unseen
+from .routes import apply_route, make_route_rule
 from .state import HostState, Lifecycle
 from .timers import CallDeadline
 from .verdict import Problem, Verdict
@@ -30,11 +32,19 @@
 def start_call(state: HostState, event: CallArrived, out: list[Effect]) -> None:
     """Admit a call, or refuse it at once."""
     call = event.call
-    service = state.services.get(call.service)
     if state.lifecycle not in (Lifecycle.READY, Lifecycle.LEAVING):
         problem = make_not_ready(f"host is {state.lifecycle}", judge_unseen(call))
         refuse_unseen(call, problem, out)
         return
+    route: Route | None = None
+    if call.virtual_host:
+        route = state.routes.find(call.virtual_host, call.path)
+        if route is None:
+            refuse_unseen(call, make_unknown_route(call.virtual_host), out)
+            return
+        name = state.routes.choose_service(route, state.rng) or ""
+        call = apply_route(call, route, name, event.now)
+    service = state.services.get(call.service)
     if service is None:
         refuse_unseen(call, make_unknown_service(call.service), out)
         return
@@ -45,7 +55,11 @@
     if quarantined is not None:
         refuse_unseen(call, quarantined, out)
         return
-    rule = get_rule(service.intent, call.method, call.path)
+    rule = (
+        get_rule(service.intent, call.method, call.path)
+        if route is None
+        else make_route_rule(route)
+    )
     asked = rule.urgency if call.urgency is None else call.urgency
     active = ActiveCall(
         call=call,
@@ -53,6 +67,9 @@
         idempotent=rule.idempotent and not call.at_most_once,
         arrived=event.now,
     )
+    if route is not None:
+        active.attempts_limit = route.attempts
+        active.aim_s = route.aim_s
     if needs_claim(active) and call.hops > 0:
         # Only the entry host may claim: two hosts would claim under one call id.
         problem = make_not_ready(UNCLAIMED, judge_unseen(call))
@@ -103,6 +120,16 @@
     if active is None:
         return
     service = state.services.get(active.call.service)
+    out.append(
+        LogDecision(
+            event="cancelled",
+            fields={
+                "call": active.call.call_id,
+                "stage": active.stage.name.lower(),
+                "after_s": round(event.now - active.arrived, 3),
+            },
+        )
+    )
     abandon(state, active, out)
     forget(state, active, out)
     if service is not None:
--- /dev/null
+++ b/src/siskinpier/core/slot_requests.py
@@ -0,0 +1,96 @@
+"""Asking a home for a slot, from the host that holds the call.
+
+The holder keeps the request and its body. The home names a backend server, and
+the holder calls it; so a body crosses no other host.
+"""
+
+from math import inf
+from typing import Final
+
+from .calls import ActiveCall, Stage
+from .effects import Effect, SendMessage, SetTimer
+from .forwarding import choose_peer
+from .messages import Message, SlotEnd, SlotRequest, SlotUse
+from .state import HostState, ServiceRuntime
+from .timers import SlotDue
+
+# A home in the same failure domain gives word within this long, seconds.
+NEAR_ANSWER_S: Final = 0.08
+# A home in another failure domain.
+FAR_ANSWER_S: Final = 0.15
+# Homes that one attempt asks before its host chooses a server by itself.
+ASKS_LIMIT: Final = 3
+
+
+def ask_slot(
+    state: HostState,
+    service: ServiceRuntime,
+    active: ActiveCall,
+    now: float,
+    out: list[Effect],
+) -> bool:
+    """Ask a home for a slot; return False when there is none left to ask."""
+    if len(active.refused_by) >= ASKS_LIMIT:
+        return False
+    home = _choose_home(state, service, active)
+    if home is None:
+        return False
+    member = state.members[home]
+    active.stage = Stage.ASKING
+    active.asked = home
+    active.asked_at = now
+    active.ask += 1
+    active.is_queued_there = False
+    message = SlotRequest(
+        host=state.identity.name,
+        call=active.call.call_id,
+        ask=active.ask,
+        service=active.call.service,
+        urgency=active.urgency,
+        idempotent=active.idempotent,
+        left_s=round(active.call.deadline - now, 4),
+        aim_left_s=round(active.aim_s - (now - active.arrived), 4),
+        tried=tuple(sorted(active.get_tried())),
+        fingerprint=active.call.fingerprint,
+    )
+    out.append(SendMessage(host=home, address=member.peers, message=message))
+    is_near = member.failure_domain == state.identity.failure_domain
+    wait_s = NEAR_ANSWER_S if is_near else FAR_ANSWER_S
+    timer = SlotDue(call_id=active.call.call_id)
+    out.append(SetTimer(timer=timer, at=now + wait_s))
+    return True
+
+
+def withdraw(
+    state: HostState, home: str, call_id: str, ask: int, out: list[Effect]
+) -> None:
+    """Tell a home that a slot is not wanted, or that its grant was not used."""
+    message = SlotEnd(
+        host=state.identity.name,
+        call=call_id,
+        ask=ask,
+        use=SlotUse.UNUSED,
+        latency_s=0.0,
+    )
+    send_to(state, home, message, out)
+
+
+def send_to(state: HostState, host: str, message: Message, out: list[Effect]) -> None:
+    """Send a message to a host if it is known."""
+    member = state.members.get(host)
+    if member is not None:
+        out.append(SendMessage(host=host, address=member.peers, message=message))
+
+
+def _choose_home(
+    state: HostState, service: ServiceRuntime, active: ActiveCall
+) -> str | None:
+    """Return the home of this failure domain, else the one with most room."""
+    own = state.identity
+    owners = set(service.placement.owners.values()) - active.refused_by - {own.name}
+    for name in service.placement.homes.get(own.failure_domain, ()):
+        if name in owners and name in state.members:
+            return name
+    others = set(service.placement.get_all_homes()) - owners
+    peer = choose_peer(state, service, others, inf)
+    return peer.name if peer is not None else None
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -13,9 +13,11 @@
 from .explain import DecisionHistory
 from .intents import RoutingIntents, ServiceIntent
 from .members import Member
+from .messages import RegisteredServer
 from .neighbours import Rings, make_rings
 from .orders import Order
 from .placement import ServicePlacement
+from .routes import RouteTable
 from .suspects import QuarantineState
 from .waiting import CallQueue
 
@@ -55,6 +57,14 @@
     address_ttl_s: float = 5.0
     seed_peers: tuple[str, ...] = ()
     platform_writes_per_second: float = 300.0
+    # Backend servers register with the platform and are not declared.
+    servers_register: bool = False
+    # Homes grant slots, in place of taking forwarded calls.
+    grants_slots: bool = False
+    # Hosts that watch the platform, in each failure domain.
+    watchers_per_domain: int = 2
+    # Retries, beyond the share of fresh calls, that all hosts may make in a burst.
+    retry_slack: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -109,6 +119,34 @@
 IntentsParser = Callable[[dict[str, object]], RoutingIntents | None]
 
 
+@dataclass(slots=True, kw_only=True)
+class RegistryState:
+    """The backend servers that registered, at a revision of the platform.
+
+    `lapsed` are servers that disappeared around an outage, with the times at
+    which they are dropped unless they come back.
+    """
+
+    revision: int = 0
+    servers: dict[str, RegisteredServer] = field(default_factory=dict)
+    lapsed: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class RelayState:
+    """What is known of the watches of the platform, here and at the relay.
+
+    Times are those of the last confirmed watch here, of the last word from a
+    relay, and of the end of the last outage.
+    """
+
+    confirmed_at: float = 0.0
+    heard_at: float = 0.0
+    lost_at: float | None = None
+    regained_at: float = 0.0
+    is_substitute: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class HostState:
     """The state that `reducer.reduce` changes, and nothing else does."""
@@ -146,6 +184,9 @@
     # The life of each host that was told of soft state it missed.
     greeted: dict[str, int] = field(default_factory=dict)
     history: DecisionHistory = field(default_factory=DecisionHistory)
+    routes: RouteTable = field(default_factory=RouteTable)
+    registry: RegistryState = field(default_factory=RegistryState)
+    relay: RelayState = field(default_factory=RelayState)
 
 
 def make_state(
--- a/src/siskinpier/core/timers.py
+++ b/src/siskinpier/core/timers.py
@@ -70,6 +70,23 @@
     call_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SlotDue:
+    """The time by which a home must have said something of a call."""
+
+    call_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RelayDue:
+    """Time to tell that the watches work, or to notice that no relay does."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LapseDue:
+    """Time to drop servers that lapsed in an outage and did not come back."""
+
+
 Timer = (
     CallDeadline
     | HeartbeatDue
@@ -82,4 +99,7 @@
     | ClaimEndsDue
     | SpareDue
     | HedgeDue
+    | SlotDue
+    | RelayDue
+    | LapseDue
 )
--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -20,6 +20,7 @@
 from ..core.verdict import AttemptFailure
 from .bodies import Body
 from .headers import CALL_ID, Headers, get_header, strip_hop_by_hop
+from .streams import make_stream_socket
 
 CONNECT_BOUND_S: Final = 0.5
 KEEP_ALIVE_S: Final = 15.0
@@ -96,8 +97,17 @@
 class BackendClient:
     """Open, keep and bound the connections to backend servers."""
 
-    def __init__(self, *, peer_tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        peer_tls: ssl.SSLContext | None = None,
+        id_field: bytes = CALL_ID,
+        keep_alive_s: float = KEEP_ALIVE_S,
+    ) -> None:
+        """Prepare a client; replies that name another id in `id_field` are refused."""
         self._peer_tls = peer_tls
+        self._id_field = id_field
+        self._keep_alive_s = keep_alive_s
         self._session: aiohttp.ClientSession | None = None
         self._in_use: dict[str, int] = {}
 
@@ -105,7 +115,8 @@
         """Prepare the connection pool; needs a running loop."""
         connector = StrictConnector(
             limit=0,
-            keepalive_timeout=KEEP_ALIVE_S,
+            keepalive_timeout=self._keep_alive_s,
+            socket_factory=make_stream_socket,
             enable_cleanup_closed=False,
         )
         self._session = aiohttp.ClientSession(
@@ -160,8 +171,8 @@
             response=response,
             release=release,
         )
-        named = get_header(reply.headers, CALL_ID)
-        if named is not None and named != get_header(headers, CALL_ID):
+        named = get_header(reply.headers, self._id_field)
+        if named is not None and named != get_header(headers, self._id_field):
             reply.discard()
             raise AttemptError(AttemptFailure.BAD_REPLY)
         return reply
--- a/src/siskinpier/edge/callers.py
+++ b/src/siskinpier/edge/callers.py
@@ -141,18 +141,60 @@
                     await self._shell.run_attempt(attempt)
                     exchange.is_attempting = False
                 case RefuseCall(problem=problem):
-                    await send_problem(send, problem, exchange.call_id)
+                    await self._send_refusal(send, problem, exchange)
                     return
                 case ReplayReply(kept=kept):
                     await self._replay(exchange, kept, send)
                     return
                 case RelayReply(attempt=number, verdict=verdict):
+                    refusal = self._judge_reply(exchange, number, verdict)
+                    if refusal is not None:
+                        await self._replace_reply(exchange, number, refusal, send)
+                        return
                     exchange.break_connection = connection.cut
                     await self._relay(exchange, number, verdict, send)
                     return
                 case CutCall():
                     raise ReplyCutError
 
+    async def _send_refusal(
+        self, send: Send, problem: Problem, exchange: Exchange
+    ) -> None:
+        """Give the caller the core's refusal."""
+        await send_problem(send, problem, exchange.call_id)
+
+    def _judge_reply(
+        self, exchange: Exchange, number: int, verdict: Verdict
+    ) -> Problem | None:
+        """Return the refusal that the caller gets in place of a reply, or None."""
+        return None
+
+    def _mark_reply(
+        self, headers: Headers, exchange: Exchange, verdict: Verdict
+    ) -> None:
+        """Add what the caller learns beside the backend server's own fields."""
+        headers.append((VERDICT, verdict.encode()))
+        headers.append((CALL_ID, exchange.call_id.encode()))
+
+    async def _replace_reply(
+        self, exchange: Exchange, number: int, problem: Problem, send: Send
+    ) -> None:
+        shell = self._shell
+        reply = exchange.replies[number]
+        try:
+            async for _ in reply.iterate():
+                pass
+        except AttemptError:
+            pass  # Nothing of this reply is passed on.
+        finally:
+            reply.close()
+        shell.handle(
+            ReplyFinished(
+                now=shell.clock(), call_id=exchange.call_id, attempt=number, kept=None
+            )
+        )
+        await self._send_refusal(send, problem, exchange)
+
     async def _replay(self, exchange: Exchange, kept: KeptReply, send: Send) -> None:
         headers = [item for item in kept.headers if item[0] != b"content-length"]
         verdict = get_reply_verdict(kept.status, (), None)
@@ -171,8 +213,7 @@
             headers=tuple(headers),
             wanted=get_header(exchange.headers, IDEMPOTENCY_KEY) is not None,
         )
-        headers.append((VERDICT, verdict.encode()))
-        headers.append((CALL_ID, exchange.call_id.encode()))
+        self._mark_reply(headers, exchange, verdict)
         last = b""
         try:
             await send(
--- a/src/siskinpier/edge/codec.py
+++ b/src/siskinpier/edge/codec.py
@@ -15,7 +15,15 @@
     MembersNotice,
     Message,
     QuarantineRelease,
+    RelayWord,
     ServerNotice,
+    ServersNotice,
+    ServersRequest,
+    SlotEnd,
+    SlotGrant,
+    SlotQueued,
+    SlotRefusal,
+    SlotRequest,
     SpareNotice,
 )
 
@@ -35,6 +43,14 @@
     "crash": TypeAdapter(CrashReport),
     "release": TypeAdapter(QuarantineRelease),
     "server": TypeAdapter(ServerNotice),
+    "servers": TypeAdapter(ServersNotice),
+    "servers?": TypeAdapter(ServersRequest),
+    "relay": TypeAdapter(RelayWord),
+    "slot?": TypeAdapter(SlotRequest),
+    "slot": TypeAdapter(SlotGrant),
+    "slot-queued": TypeAdapter(SlotQueued),
+    "slot-refused": TypeAdapter(SlotRefusal),
+    "slot-end": TypeAdapter(SlotEnd),
 }
 _NAMES: Final[dict[type, str]] = {
     Heartbeat: "heartbeat",
@@ -49,6 +65,14 @@
     CrashReport: "crash",
     QuarantineRelease: "release",
     ServerNotice: "server",
+    ServersNotice: "servers",
+    ServersRequest: "servers?",
+    RelayWord: "relay",
+    SlotRequest: "slot?",
+    SlotGrant: "slot",
+    SlotQueued: "slot-queued",
+    SlotRefusal: "slot-refused",
+    SlotEnd: "slot-end",
 }
 _FIELDS: Final[dict[str, tuple[str, ...]]] = {
     name: tuple(field.name for field in dataclass_fields(kind))
--- a/src/siskinpier/edge/following.py
+++ b/src/siskinpier/edge/following.py
@@ -19,6 +19,7 @@
 from ..core.state import Lifecycle
 from ..logs import log_event
 from ..settings.documents import Rejected, parse_intents
+from .platform import PlatformClient
 from .shell import Shell
 
 HOSTS_POLL_S: Final = 1.0
@@ -28,11 +29,11 @@
 RETRY_LONGEST_S: Final = 4.0
 
 
-async def follow_hosts(shell: Shell) -> None:
+async def follow_hosts(shell: Shell, platform: PlatformClient) -> None:
     """Read the host list again and again, rarely on hosts that do not watch."""
     delay_s = HOSTS_POLL_S
     while True:
-        result = await shell.platform.list_objects(kind=HOSTS)
+        result = await platform.list_objects(kind=HOSTS)
         if isinstance(result, Listed):
             hosts = tuple(_make_listed_host(item) for item in result.items)
             shell.handle(HostsListed(now=shell.clock(), hosts=hosts))
@@ -42,7 +43,7 @@
         await anyio.sleep(delay_s * random.uniform(0.6, 1.0))
 
 
-async def follow_intents(shell: Shell) -> None:
+async def follow_intents(shell: Shell, platform: PlatformClient) -> None:
     """Watch the routing intents for as long as the core wants it."""
     while True:
         shell.watch_changed = anyio.Event()
@@ -50,23 +51,21 @@
             await shell.watch_changed.wait()
             continue
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_keep_watch, shell)
+            tasks.start_soon(_keep_watch, shell, platform)
             await shell.watch_changed.wait()
             tasks.cancel_scope.cancel()
 
 
-async def _keep_watch(shell: Shell) -> None:
+async def _keep_watch(shell: Shell, platform: PlatformClient) -> None:
     """Read the routing intents, then watch them; begin again after each fault."""
     delay_s = RETRY_S
     while True:
-        result = await shell.platform.read_object(
-            kind=ROUTING_INTENTS, name=INTENTS_NAME
-        )
+        result = await platform.read_object(kind=ROUTING_INTENTS, name=INTENTS_NAME)
         match result:
             case Stored(version=version):
                 delay_s = RETRY_S
                 _take(shell, result)
-                await _watch(shell, version)
+                await _watch(shell, platform, version)
             case Missing():
                 shell.handle(IntentsMissing(now=shell.clock()))
                 await anyio.sleep(RETRY_S)
@@ -81,8 +80,8 @@
     return HOSTS_POLL_S if shell.watching or is_starting else HOSTS_POLL_IDLE_S
 
 
-async def _watch(shell: Shell, version: str) -> None:
-    watch = shell.platform.watch_object(
+async def _watch(shell: Shell, platform: PlatformClient, version: str) -> None:
+    watch = platform.watch_object(
         kind=ROUTING_INTENTS, name=INTENTS_NAME, version=version, wait_s=WATCH_S
     )
     async with aclosing(watch) as results:
--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -1,23 +1,18 @@
 """One host as a process: its sockets, its shell and its signals."""
 
-import gc
-import signal
 import socket
 import ssl
 import sys
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
 from functools import partial
 from typing import Final
 
 import anyio
-import uvicorn
 from anyio.abc import TaskGroup
 from hypercorn.asyncio import serve as serve_hypercorn
 from hypercorn.config import Config as HypercornConfig
 
-from ..core.events import HostStarted, ShutdownRequested
+from ..core.events import HostStarted
 from ..core.intents import RoutingIntents
 from ..core.state import CoreSettings, HostIdentity, HostState, make_state
 from ..exits import ExitCode
@@ -27,28 +22,17 @@
 from ..settings.host import HostSettings
 from .backends import BackendClient
 from .callers import CallerApp
+from .dialect import OwnDialect
 from .following import follow_hosts, follow_intents
-from .limits import CallerProtocol
 from .operators import OperatorApp
 from .platform import PlatformClient
+from .serving import calm_collector, make_caller_server, make_clock, watch_signals
 from .shell import Shell
 from .sockets import HostSockets, bind_sockets, get_address, make_ready_line
 from .tls import Certificate, follow_files, make_certificate
 
 # Time to hand the last answers to the operating system when ending at once.
 LAST_ANSWERS_S: Final = 0.1
-# Objects allocated before the youngest generation is collected, and collections
-# of each younger generation before the next older one is.
-COLLECTOR_THRESHOLDS: Final = (20_000, 50, 100)
-
-
-class CallerServer(uvicorn.Server):
-    """A server that leaves signals to the host."""
-
-    @contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Do nothing: the host handles signals."""
-        yield
 
 
 def run_host(settings: HostSettings) -> int:
@@ -77,10 +61,14 @@
         token=settings.platform.token,
         timeout_s=settings.platform.timeout_s,
     )
+    dialect = OwnDialect(
+        host=settings.name, peer_key=settings.security.peer_key.encode()
+    )
     shell = Shell(
         settings=settings,
+        dialect=dialect,
         state=_make_host_state(settings, sockets),
-        clock=_make_clock(),
+        clock=make_clock(),
         platform=platform,
         backends=backends,
         metrics=HostMetrics(),
@@ -89,7 +77,7 @@
         async with anyio.create_task_group() as tasks:
             if certificate is not None:
                 tasks.start_soon(follow_files, certificate)
-            await _serve(shell, sockets, tasks, certificate)
+            await _serve(shell, platform, sockets, tasks, certificate)
             tasks.cancel_scope.cancel()
     finally:
         with anyio.CancelScope(shield=True):
@@ -99,23 +87,24 @@
 
 async def _serve(
     shell: Shell,
+    platform: PlatformClient,
     sockets: HostSockets,
     tasks: TaskGroup,
     certificate: Certificate | None,
 ) -> None:
     settings = shell.settings
     shell.start(tasks)
-    _calm_collector()
-    tasks.start_soon(_watch_signals, shell)
+    calm_collector()
+    tasks.start_soon(watch_signals, shell)
     tasks.start_soon(shell.mesh.serve, sockets.peers, tasks)
-    caller_server = _make_caller_server(shell, certificate)
+    caller_server = make_caller_server(shell, CallerApp(shell=shell), certificate)
     async with anyio.create_task_group() as servers:
         servers.start_soon(_serve_operators, shell, sockets.operators, certificate)
         servers.start_soon(caller_server.serve, [sockets.callers])
         tasks.start_soon(_abort, shell, servers)
         shell.handle(HostStarted(now=shell.clock()))
-        tasks.start_soon(follow_intents, shell)
-        tasks.start_soon(follow_hosts, shell)
+        tasks.start_soon(follow_intents, shell, platform)
+        tasks.start_soon(follow_hosts, shell, platform)
         log_event("start", host=settings.name, callers=get_address(sockets.callers))
         print(make_ready_line(sockets), flush=True)
         await shell.stopped.wait()
@@ -139,46 +128,6 @@
     return max(0.0, state.leaving_since + bound_s - shell.clock())
 
 
-def _calm_collector() -> None:
-    """Let the garbage collector run seldom, and over new objects only.
-
-    Its runs over all that was loaded at the start would delay calls.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTOR_THRESHOLDS)
-
-
-async def _watch_signals(shell: Shell) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            shell.handle(ShutdownRequested(now=shell.clock()))
-
-
-def _make_caller_server(
-    shell: Shell, certificate: Certificate | None
-) -> uvicorn.Server:
-    settings = shell.settings
-    cfg = uvicorn.Config(
-        CallerApp(shell=shell),
-        http=partial(  # type: ignore[arg-type]
-            CallerProtocol, limits=settings.limits, metrics=shell.metrics
-        ),
-        loop="none",
-        lifespan="off",
-        access_log=False,
-        log_config=None,
-        server_header=False,
-        date_header=False,
-        proxy_headers=False,
-        ws="none",
-        timeout_keep_alive=int(settings.limits.keep_alive_s),
-    )
-    cfg.load()
-    cfg.ssl = None if certificate is None else certificate.server
-    return CallerServer(cfg)
-
-
 class OperatorConfig(HypercornConfig):
     """A configuration whose TLS context can be renewed while it is in use."""
 
@@ -241,12 +190,3 @@
 def _parse_or_none(spec: dict[str, object]) -> RoutingIntents | None:
     parsed = parse_intents(spec)
     return None if isinstance(parsed, Rejected) else parsed.value
-
-
-def _make_clock() -> "partial[float]":
-    """Return a clock in seconds since the epoch that never steps back."""
-    return partial(_read_clock, time.time() - time.monotonic())
-
-
-def _read_clock(offset_s: float) -> float:
-    return offset_s + time.monotonic()
--- a/src/siskinpier/edge/operators.py
+++ b/src/siskinpier/edge/operators.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ..core.cluster_revisions import get_hosts_behind
 from ..core.difference import compare_intents
 from ..core.intents import RoutingIntents
 from ..core.language import LanguageError, parse_order
@@ -18,7 +19,6 @@
 from ..core.questions import (
     NotFound,
     answer_question,
-    get_hosts_behind,
     get_unready_reason,
 )
 from ..core.readiness import knows_base
--- /dev/null
+++ b/src/siskinpier/edge/serving.py
@@ -0,0 +1,81 @@
+"""What every kind of host runs on: callers' server, signals, clock, collector."""
+
+import gc
+import signal
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from functools import partial
+from typing import Any, Final
+
+import anyio
+import uvicorn
+
+from ..core.events import ShutdownRequested
+from .limits import CallerProtocol
+from .shell import Shell
+from .tls import Certificate
+
+# Objects allocated before the youngest generation is collected, and collections
+# of each younger generation before the next older one is.
+COLLECTOR_THRESHOLDS: Final = (20_000, 50, 100)
+
+
+class CallerServer(uvicorn.Server):
+    """A server that leaves signals to the host."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Do nothing: the host handles signals."""
+        yield
+
+
+def calm_collector() -> None:
+    """Let the garbage collector run seldom, and over new objects only.
+
+    Its runs over all that was loaded at the start would delay calls.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
+async def watch_signals(shell: Shell) -> None:
+    """Turn SIGTERM and SIGINT into a request to leave, until cancelled."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            shell.handle(ShutdownRequested(now=shell.clock()))
+
+
+def make_caller_server(
+    shell: Shell, app: Any, certificate: Certificate | None = None
+) -> uvicorn.Server:
+    """Return a server for callers; it ends when `should_exit` is set."""
+    settings = shell.settings
+    cfg = uvicorn.Config(
+        app,
+        http=partial(  # type: ignore[arg-type]
+            CallerProtocol, limits=settings.limits, metrics=shell.metrics
+        ),
+        loop="none",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
+        ws="none",
+        timeout_keep_alive=int(settings.limits.keep_alive_s),
+    )
+    cfg.load()
+    cfg.ssl = None if certificate is None else certificate.server
+    return CallerServer(cfg)
+
+
+def make_clock() -> "partial[float]":
+    """Return a clock in seconds since the epoch that never steps back."""
+    return partial(_read_clock, time.time() - time.monotonic())
+
+
+def _read_clock(offset_s: float) -> float:
+    return offset_s + time.monotonic()
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from ..core.addresses import AddressAnswer, get_addresses
+from ..core.calls import LoadReport
 from ..core.effects import (
     AbandonAttempt,
     AnswerOrder,
@@ -37,7 +38,6 @@
     PeerRefused,
     ProbeAnswered,
     ReplyFinished,
-    ReplyStarted,
     TimerFired,
 )
 from ..core.messages import Message
@@ -45,28 +45,17 @@
 from ..core.reducer import reduce
 from ..core.state import HostState
 from ..core.timers import Timer
-from ..core.verdict import AttemptFailure, Verdict
+from ..core.verdict import AttemptFailure
 from ..logs import log_event
 from ..metrics import HostMetrics
 from ..settings.host import HostSettings
 from .alarms import Alarms
-from .backends import AttemptError, BackendClient, BackendReply
+from .backends import AttemptError, BackendClient
+from .dialect import Dialect
 from .exchange import CutCall, Exchange
-from .headers import (
-    CALL_ID,
-    DRAINING,
-    FORWARDED,
-    LOAD,
-    TIMEOUT_MS,
-    VERDICT,
-    Forward,
-    Headers,
-    get_header,
-    sign_forward,
-    strip_hop_by_hop,
-)
+from .headers import Headers
 from .mesh import Mesh
-from .platform import PlatformClient
+from .object_store import ObjectStore
 
 PROBE_HEADERS: Final[Headers] = [(b"accept", b"application/json")]
 
@@ -80,7 +69,8 @@
         settings: HostSettings,
         state: HostState,
         clock: Callable[[], float],
-        platform: PlatformClient,
+        platform: ObjectStore,
+        dialect: Dialect,
         backends: BackendClient,
         metrics: HostMetrics,
     ) -> None:
@@ -88,6 +78,7 @@
         self.state = state
         self.clock = clock
         self.platform = platform
+        self.dialect = dialect
         self.metrics = metrics
         metrics.watch(state, clock, platform.calls)
         self.peer_key = settings.security.peer_key.encode()
@@ -224,8 +215,10 @@
     async def run_attempt(self, effect: SendAttempt) -> None:
         """Send one attempt and tell the core how its reply starts."""
         exchange = self.exchanges.get(effect.call_id)
-        if exchange is None:
+        active = self.state.calls.get(effect.call_id)
+        if exchange is None or active is None:
             return
+        call = active.call
         with anyio.CancelScope() as scope:
             exchange.attempts[effect.attempt] = scope
             try:
@@ -233,7 +226,7 @@
                     address=effect.address,
                     method=exchange.method,
                     target=_get_target(effect, exchange, self.state),
-                    headers=self._make_headers(effect, exchange),
+                    headers=self.dialect.make_request_headers(effect, exchange, call),
                     body=exchange.body,
                     connections=effect.connections,
                     is_forward=effect.is_forward,
@@ -246,7 +239,7 @@
                 return
             exchange.attempts.pop(effect.attempt, None)
             exchange.replies[effect.attempt] = reply
-            self.handle(_make_reply_started(effect, reply, self.clock()))
+            self.handle(self.dialect.read_reply(effect, reply, self.clock()))
 
     def _fail(self, effect: SendAttempt, failure: AttemptFailure) -> None:
         self.handle(
@@ -258,28 +251,11 @@
             )
         )
 
-    def _make_headers(self, effect: SendAttempt, exchange: Exchange) -> Headers:
-        headers = strip_hop_by_hop(exchange.headers)
-        left_ms = max(1, int(effect.timeout_s * 1000))
-        headers.append((CALL_ID, exchange.call_id.encode()))
-        headers.append((TIMEOUT_MS, str(left_ms).encode()))
-        if effect.is_forward:
-            headers.append((FORWARDED, self._sign_forward(effect)))
-        return headers
-
-    def _sign_forward(self, effect: SendAttempt) -> bytes:
-        call = self.state.calls[effect.call_id].call
-        forward = Forward(
-            host=self.settings.name,
-            at_most_once=effect.at_most_once,
-            claimed=effect.claimed,
-        )
-        return sign_forward(self.peer_key, call.call_id, call.fingerprint, forward)
-
     async def _run_probe(self, effect: SendProbe) -> None:
         started = self.clock()
         latency_s: float | None = None
         draining = False
+        report: LoadReport | None = None
         size = 0
         with anyio.move_on_after(effect.timeout_s):
             try:
@@ -295,7 +271,8 @@
                         size += len(chunk)
                 finally:
                     reply.close()
-                draining = get_header(reply.headers, DRAINING) == b"1"
+                draining = self.dialect.is_leaving(reply.headers)
+                report = self.dialect.read_report(reply.headers)
                 if reply.status < 400:
                     latency_s = self.clock() - started
             except AttemptError:
@@ -309,6 +286,7 @@
                 latency_s=latency_s,
                 draining=draining,
                 bytes_used=size,
+                report=report,
             )
         )
 
@@ -345,35 +323,6 @@
     return f"/call/{state.calls[effect.call_id].call.service}{exchange.target}"
 
 
-def _make_reply_started(
-    effect: SendAttempt, reply: BackendReply, now: float
-) -> ReplyStarted:
-    load = get_header(reply.headers, LOAD)
-    return ReplyStarted(
-        now=now,
-        call_id=effect.call_id,
-        attempt=effect.attempt,
-        status=reply.status,
-        load=_parse_load(load),
-        draining=get_header(reply.headers, DRAINING) == b"1",
-        verdict=_parse_verdict(reply.headers) if effect.is_forward else None,
-    )
-
-
-def _parse_load(value: bytes | None) -> int | None:
-    count = (value or b"").partition(b"/")[0]
-    return int(count) if count.isdigit() and len(count) < 7 else None
-
-
-def _parse_verdict(headers: Headers) -> Verdict:
-    """Return what another host said; without its word the call may have run."""
-    value = get_header(headers, VERDICT)
-    try:
-        return Verdict((value or b"").decode("latin-1"))
-    except ValueError:
-        return Verdict.MAY_HAVE_RUN
-
-
 def _dump_addresses(answer: AddressAnswer) -> dict[str, object]:
     return {
         "service": answer.service,
--- /dev/null
+++ b/src/siskinpier/edge/streams.py
@@ -0,0 +1,33 @@
+"""Sockets of outgoing connections: how soon a path that went silent is noticed."""
+
+import socket
+from typing import Any, Final
+
+# Time that sent bytes may stay unconfirmed, milliseconds.
+USER_TIMEOUT_MS: Final = 1_500
+# An idle connection is asked after this long, and so often, seconds.
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_COUNT: Final = 2
+
+
+def make_stream_socket(info: tuple[Any, ...]) -> socket.socket:
+    """Return a socket for an entry of `getaddrinfo`, as aiohttp asks for one."""
+    family, kind, proto = info[0], info[1], info[2]
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    watch_silence(sock)
+    return sock
+
+
+def watch_silence(sock: socket.socket) -> None:
+    """Have the operating system end a connection whose peer is out of reach."""
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, name, value in options:
+        sock.setsockopt(level, name, value)
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -17,7 +17,7 @@
 from prometheus_client.registry import Collector
 
 from .core.cluster import get_live_hosts
-from .core.questions import get_hosts_behind
+from .core.cluster_revisions import get_hosts_behind
 from .core.state import HostState
 
 LATENCY_BUCKETS_S = (
--- /dev/null
+++ b/src/siskinpier/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/src/siskinpier/platform/__main__.py
@@ -0,0 +1,5 @@
+"""Run one host on the platform."""
+
+from .process import main
+
+main()
--- /dev/null
+++ b/src/siskinpier/platform/process.py
@@ -0,0 +1,182 @@
+"""One host on the platform as a process."""
+
+import hashlib
+import os
+import socket
+import sys
+import time
+from functools import partial
+from pathlib import Path
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..core.events import HostStarted
+from ..core.state import CoreSettings, HostIdentity, HostState, make_state
+from ..edge.backends import BackendClient
+from ..edge.serving import (
+    calm_collector,
+    make_caller_server,
+    make_clock,
+    watch_signals,
+)
+from ..edge.shell import Shell
+from ..edge.sockets import make_listener
+from ..exits import ExitCode
+from ..logs import log_event, set_up_logs
+from ..metrics import HostMetrics
+from ..settings.host import (
+    Address,
+    HostSettings,
+    LimitSettings,
+    PlatformSettings,
+    SecuritySettings,
+    ShutdownSettings,
+)
+from .callers import FrontApp, SideApp
+from .fields import REQUEST_ID, PlatformDialect
+from .relay import Relay
+from .settings import (
+    PATH_VARIABLE,
+    AdapterSettings,
+    ListenAddress,
+    SettingsError,
+    parse_settings,
+)
+from .store import Store
+
+HEARTBEAT_S: Final = 0.5
+# Callers that ask right before the host leaves still come for this long, seconds.
+ANNOUNCE_S: Final = 3.0
+# Time kept between the last answer and the platform's SIGKILL, seconds.
+END_MARGIN_S: Final = 0.5
+# Less than the time after which backend servers close an idle connection.
+KEEP_ALIVE_S: Final = 4.0
+
+
+def main() -> None:
+    """Run a host with the settings that the platform names, and exit."""
+    raise SystemExit(int(run(os.environ.get(PATH_VARIABLE, ""))))
+
+
+def run(path: str) -> int:
+    """Run a host until it is told to stop; return the exit code."""
+    set_up_logs()
+    try:
+        settings = parse_settings(Path(path).read_text(encoding="utf-8"))
+        sockets = [
+            make_listener(Address(ip=address.ip, port=address.port))
+            for address in (
+                settings.callers,
+                settings.readiness,
+                settings.addresses,
+                settings.peers,
+            )
+        ]
+    except (OSError, SettingsError, UnicodeDecodeError) as exc:
+        print(f"siskinpier: cannot start: {path}: {exc}", file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    anyio.run(
+        partial(_run, settings, sockets),
+        backend="asyncio",
+        backend_options={"use_uvloop": False},
+    )
+    return ExitCode.OK
+
+
+async def _run(settings: AdapterSettings, sockets: list[socket.socket]) -> None:
+    backends = BackendClient(id_field=REQUEST_ID, keep_alive_s=KEEP_ALIVE_S)
+    await backends.open()
+    store = Store(address=settings.store)
+    await store.open()
+    shell = Shell(
+        settings=_make_host_settings(settings),
+        state=_make_host_state(settings),
+        clock=make_clock(),
+        platform=store,
+        dialect=PlatformDialect(),
+        backends=backends,
+        metrics=HostMetrics(),
+    )
+    relay = Relay(shell=shell, store=store, settings=settings)
+    try:
+        async with anyio.create_task_group() as tasks:
+            await _serve(shell, relay, sockets, tasks)
+            tasks.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await backends.aclose()
+            await store.aclose()
+
+
+async def _serve(
+    shell: Shell, relay: Relay, sockets: list[socket.socket], tasks: TaskGroup
+) -> None:
+    callers, readiness, addresses, peers = sockets
+    shell.start(tasks)
+    tasks.start_soon(watch_signals, shell)
+    tasks.start_soon(shell.mesh.serve, peers, tasks)
+    front = make_caller_server(shell, FrontApp(shell=shell))
+    side = make_caller_server(shell, SideApp(shell=shell))
+    async with anyio.create_task_group() as servers:
+        servers.start_soon(front.serve, [callers])
+        tasks.start_soon(side.serve, [readiness, addresses])
+        shell.handle(HostStarted(now=shell.clock()))
+        tasks.start_soon(relay.run)
+        tasks.start_soon(relay.register)
+        calm_collector()
+        log_event("start", host=shell.settings.name)
+        await shell.stopped.wait()
+        front.should_exit = True
+        servers.cancel_scope.deadline = anyio.current_time() + END_MARGIN_S
+    log_event("end", host=shell.settings.name)
+
+
+def _make_host_settings(settings: AdapterSettings) -> HostSettings:
+    key = hashlib.sha256(f"siskinpier/{settings.store}".encode()).hexdigest()
+    return HostSettings(
+        name=settings.name,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        callers=_make_address(settings.callers),
+        operators=_make_address(settings.operators),
+        peers=_make_address(settings.peers),
+        platform=PlatformSettings(url=f"http://{settings.store}"),
+        security=SecuritySettings(operator_token=key, peer_key=key),
+        limits=LimitSettings(body_bytes=67_108_864, keep_alive_s=15.0),
+        shutdown=ShutdownSettings(announce_s=ANNOUNCE_S),
+        address_ttl_s=settings.address_ttl_s,
+        seed_peers=settings.seed_peers,
+        heartbeat_s=HEARTBEAT_S,
+    )
+
+
+def _make_address(address: ListenAddress) -> Address:
+    return Address(ip=address.ip, port=address.port)
+
+
+def _make_host_state(settings: AdapterSettings) -> HostState:
+    return make_state(
+        identity=HostIdentity(
+            name=settings.name,
+            incarnation=time.time_ns() // 1_000,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            callers=str(settings.callers),
+            peers=str(settings.peers),
+        ),
+        settings=CoreSettings(
+            heartbeat_s=HEARTBEAT_S,
+            announce_s=ANNOUNCE_S,
+            shutdown_bound_s=settings.grace_s - ANNOUNCE_S - END_MARGIN_S,
+            address_ttl_s=settings.address_ttl_s,
+            seed_peers=settings.seed_peers,
+            platform_writes_per_second=settings.writes_per_second,
+            servers_register=True,
+            grants_slots=True,
+            retry_slack=settings.retry_slack,
+        ),
+        parse_intents=lambda spec: None,
+        seed=time.time_ns(),
+    )
--- /dev/null
+++ b/src/siskinpier/platform/relay.py
@@ -0,0 +1,233 @@
+"""Watching the store for the configuration and the backend servers."""
+
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+import anyio
+
+from ..core.events import (
+    HostsListed,
+    IntentsSeen,
+    PlatformLost,
+    PlatformReached,
+    ServersChanged,
+    ServersListed,
+)
+from ..core.messages import RegisteredServer
+from ..core.platform_results import Conflicted, Stored, Unavailable, Written
+from ..edge.shell import Shell
+from ..logs import log_event, log_warning
+from .documents import (
+    Unreadable,
+    decode_configuration,
+    decode_host,
+    decode_server,
+    encode_host,
+)
+from .settings import AdapterSettings
+from .store import ChangeList, HistoryLost, ObjectList, Store, StoreObject
+
+CONFIGURATION_KIND: Final = "config"
+CONFIGURATION_NAME: Final = "main"
+SERVERS_KIND: Final = "servers"
+# Kind of our own: the entry hosts.
+HOSTS_KIND: Final = "siskinpier-hosts"
+WATCH_S: Final = 4.0
+# Changes that come within this time are taken together.
+GATHER_S: Final = 0.1
+RETRY_S: Final = 0.3
+RETRY_LONGEST_S: Final = 1.0
+HOSTS_POLL_S: Final = 20.0
+
+
+class Relay:
+    """Follows the store for as long as the core wants it."""
+
+    def __init__(
+        self, *, shell: Shell, store: Store, settings: AdapterSettings
+    ) -> None:
+        self._shell = shell
+        self._store = store
+        self._settings = settings
+        self._unreadable: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Watch whenever the core wants it, until cancelled."""
+        shell = self._shell
+        while True:
+            shell.watch_changed = anyio.Event()
+            if not shell.watching:
+                await shell.watch_changed.wait()
+                continue
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._repeat, self._follow_configuration)
+                tasks.start_soon(self._repeat, self._follow_servers)
+                await shell.watch_changed.wait()
+                tasks.cancel_scope.cancel()
+
+    async def register(self) -> None:
+        """Write this host's own object, and read those of the others."""
+        await self._repeat_until_done(self._write_own)
+        while True:
+            listed = await self._store.list_all(HOSTS_KIND, may_be_stale=True)
+            if isinstance(listed, ObjectList):
+                hosts = [decode_host(item.name, item.spec) for item in listed.items]
+                known = tuple(h for h in hosts if not isinstance(h, Unreadable))
+                shell = self._shell
+                shell.handle(HostsListed(now=shell.clock(), hosts=known))
+                await anyio.sleep(HOSTS_POLL_S * random.uniform(0.8, 1.2))
+            else:
+                await anyio.sleep(RETRY_LONGEST_S * random.uniform(0.5, 1.0))
+
+    async def _write_own(self) -> bool:
+        store, name = self._store, self._settings.name
+        spec = encode_host(self._settings)
+        result = await store.write_object(
+            kind=HOSTS_KIND, name=name, spec=spec, expected_version=None
+        )
+        if isinstance(result, Conflicted):
+            held = await store.read_object(kind=HOSTS_KIND, name=name)
+            if isinstance(held, Stored):
+                if held.spec == spec:
+                    return True
+                result = await store.write_object(
+                    kind=HOSTS_KIND, name=name, spec=spec, expected_version=held.version
+                )
+        return isinstance(result, Written)
+
+    async def _repeat_until_done(
+        self, step: Callable[[], Coroutine[Any, Any, bool]]
+    ) -> None:
+        delay_s = RETRY_S
+        while not await step():
+            await anyio.sleep(delay_s * random.uniform(0.5, 1.0))
+            delay_s = min(RETRY_LONGEST_S, delay_s * 2)
+
+    async def _repeat(
+        self, follow: Callable[[], Coroutine[Any, Any, Unavailable]]
+    ) -> None:
+        """Begin again after each fault, with growing delays in an outage."""
+        delay_s = RETRY_S
+        shell = self._shell
+        while True:
+            began = shell.clock()
+            fault = await follow()
+            now = shell.clock()
+            shell.handle(PlatformLost(now=now, reason=fault.reason))
+            if now - began > RETRY_LONGEST_S:
+                delay_s = RETRY_S
+            await anyio.sleep(delay_s * random.uniform(0.5, 1.0))
+            delay_s = min(RETRY_LONGEST_S, delay_s * 2)
+
+    async def _follow_configuration(self) -> Unavailable:
+        """Read the configuration, then watch it; return what ended that."""
+        while True:
+            listed = await self._store.list_all(CONFIGURATION_KIND)
+            if isinstance(listed, Unavailable):
+                return listed
+            self._confirm()
+            for item in listed.items:
+                self._take_configuration(item)
+            fault = await self._watch(
+                CONFIGURATION_KIND, listed.revision, self._take_configuration_changes
+            )
+            if fault is not None:
+                return fault
+
+    async def _follow_servers(self) -> Unavailable:
+        """List the servers, then watch them; return what ended that."""
+        while True:
+            listed = await self._store.list_all(SERVERS_KIND)
+            if isinstance(listed, Unavailable):
+                return listed
+            self._confirm()
+            self._take_servers(listed)
+            fault = await self._watch(
+                SERVERS_KIND, listed.revision, self._take_server_changes
+            )
+            if fault is not None:
+                return fault
+
+    async def _watch(
+        self, kind: str, revision: int, take: Callable[[ChangeList], None]
+    ) -> Unavailable | None:
+        """Watch from a revision on; return None when its history is gone."""
+        while True:
+            result = await self._store.watch(kind, revision=revision, wait_s=WATCH_S)
+            if isinstance(result, HistoryLost):
+                log_event("history-lost", kind=kind, revision=revision)
+                return None
+            if isinstance(result, Unavailable):
+                return result
+            self._confirm()
+            revision = max(revision, result.revision)
+            if result.changes:
+                take(result)
+                await anyio.sleep(GATHER_S)
+
+    def _confirm(self) -> None:
+        shell = self._shell
+        shell.handle(PlatformReached(now=shell.clock()))
+
+    def _take_configuration_changes(self, result: ChangeList) -> None:
+        for change in result.changes:
+            if not change.is_deleted:
+                self._take_configuration(change.item)
+
+    def _take_configuration(self, item: StoreObject) -> None:
+        if item.name != CONFIGURATION_NAME:
+            return
+        decoded = decode_configuration(item.spec, self._settings)
+        if isinstance(decoded, Unreadable):
+            self._note_unreadable(f"config/{item.name}", decoded)
+            return
+        shell = self._shell
+        seen = IntentsSeen(
+            now=shell.clock(), version=str(item.revision), intents=decoded.intents
+        )
+        shell.handle(seen)
+
+    def _take_servers(self, listed: ObjectList) -> None:
+        shell = self._shell
+        servers = [self._decode_server(item) for item in listed.items]
+        shell.handle(
+            ServersListed(
+                now=shell.clock(),
+                revision=listed.revision,
+                servers=tuple(s for s in servers if s is not None),
+            )
+        )
+
+    def _take_server_changes(self, result: ChangeList) -> None:
+        shell = self._shell
+        latest = {change.item.name: change for change in result.changes}
+        servers: list[RegisteredServer] = []
+        gone: list[str] = []
+        for name, change in latest.items():
+            server = None if change.is_deleted else self._decode_server(change.item)
+            if server is not None:
+                servers.append(server)
+            else:
+                gone.append(name)
+        shell.handle(
+            ServersChanged(
+                now=shell.clock(),
+                revision=result.revision,
+                servers=tuple(servers),
+                gone=tuple(gone),
+            )
+        )
+
+    def _decode_server(self, item: StoreObject) -> RegisteredServer | None:
+        decoded = decode_server(item.name, item.spec, item.status)
+        if isinstance(decoded, Unreadable):
+            self._note_unreadable(f"server/{item.name}", decoded)
+            return None
+        return decoded
+
+    def _note_unreadable(self, name: str, decoded: Unreadable) -> None:
+        """Log an entry that is passed over, once for each reason."""
+        if self._unreadable.get(name) != decoded.reason:
+            self._unreadable[name] = decoded.reason
+            log_warning("entry-unreadable", name=name, reason=decoded.reason)
--- /dev/null
+++ b/src/siskinpier/platform/store.py
@@ -0,0 +1,265 @@
+"""The platform's metadata store over its HTTP interface.
+
+Network faults are returned as results, never raised. `calls` counts the requests
+made, by kind of call.
+"""
+
+import json
+from collections import Counter
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final
+from urllib.parse import quote
+
+import aiohttp
+
+from ..core.platform_results import (
+    Conflicted,
+    Missing,
+    ReadResult,
+    Stored,
+    Unavailable,
+    Unknown,
+    WriteResult,
+    Written,
+)
+from ..edge.streams import make_stream_socket
+
+CONNECT_TIMEOUT_S: Final = 0.5
+CALL_TIMEOUT_S: Final = 1.5
+# How much later than asked a watch's answer may come.
+WATCH_GRACE_S: Final = 1.0
+LONGEST_LIST_PAGES: Final = 100
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreObject:
+    """An object as the store holds it; `revision` is that of its last change."""
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectList:
+    """All objects of a kind; a watch may begin at `revision`."""
+
+    revision: int
+    items: tuple[StoreObject, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectChange:
+    """An object that changed or was deleted."""
+
+    item: StoreObject
+    is_deleted: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeList:
+    """What changed up to `revision`, from where the watch goes on."""
+
+    revision: int
+    changes: tuple[ObjectChange, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HistoryLost:
+    """The store forgot the changes after the revision asked for."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Answer:
+    status: int
+    document: Any
+
+
+class Store:
+    """Calls to the store; each ends within its timeout."""
+
+    def __init__(self, *, address: str) -> None:
+        self.calls: Counter[str] = Counter()
+        self._root = f"http://{address}/api/objects"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Prepare the connections; needs a running loop."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, socket_factory=make_stream_socket),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        # A write that was sent again by the client could act twice.
+        self._session._retry_connection = False
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def list_all(
+        self, kind: str, *, may_be_stale: bool = False
+    ) -> ObjectList | Unavailable:
+        """Return all objects of a kind."""
+        items: list[StoreObject] = []
+        params: dict[str, str] = {"staleOk": "1"} if may_be_stale else {}
+        revision: int | None = None
+        for _ in range(LONGEST_LIST_PAGES):
+            answer = await self._call("list", "GET", self._path(kind), params=params)
+            if isinstance(answer, Unavailable | Unknown):
+                return Unavailable(reason=answer.reason)
+            page = _parse_page(answer)
+            if isinstance(page, Unavailable):
+                return page
+            # Changes between two pages are seen by a watch from the first one.
+            revision = page.revision if revision is None else revision
+            items += page.items
+            if not answer.document.get("hasMore") or not page.items:
+                return ObjectList(revision=revision, items=tuple(items))
+            params["after"] = page.items[-1].name
+        return Unavailable(reason=f"more than {LONGEST_LIST_PAGES} pages")
+
+    async def watch(
+        self, kind: str, *, revision: int, wait_s: float
+    ) -> ChangeList | HistoryLost | Unavailable:
+        """Return what changes after a revision, at the latest after `wait_s`."""
+        params = {"watch": str(revision), "waitMs": str(int(wait_s * 1000))}
+        answer = await self._call(
+            "watch",
+            "GET",
+            self._path(kind),
+            params=params,
+            timeout_s=wait_s + WATCH_GRACE_S,
+        )
+        if isinstance(answer, Unavailable | Unknown):
+            return Unavailable(reason=answer.reason)
+        if answer.status == HTTPStatus.GONE:
+            return HistoryLost()
+        return _parse_changes(answer)
+
+    async def read_object(self, *, kind: str, name: str) -> ReadResult:
+        """Read one object."""
+        answer = await self._call("read", "GET", self._path(kind, name))
+        if isinstance(answer, Unavailable | Unknown):
+            return Unavailable(reason=answer.reason)
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return Missing(kind=kind, name=name)
+        item = _parse_object(answer.document)
+        if answer.status != HTTPStatus.OK or item is None:
+            return Unavailable(reason=f"status {answer.status}")
+        spec = item.spec if isinstance(item.spec, dict) else {}
+        return Stored(kind=kind, name=name, version=str(item.revision), spec=spec)
+
+    async def write_object(
+        self,
+        *,
+        kind: str,
+        name: str,
+        spec: dict[str, object],
+        expected_version: str | None,
+    ) -> WriteResult:
+        """Create an object, or replace one that is at the expected version."""
+        metadata: dict[str, object] = {"name": name}
+        is_create = expected_version is None
+        if expected_version is not None:
+            metadata["revision"] = int(expected_version)
+        answer = await self._call(
+            "write",
+            "POST" if is_create else "PUT",
+            self._path(kind, None if is_create else name),
+            body={"metadata": metadata, "spec": spec},
+        )
+        if isinstance(answer, Unavailable | Unknown):
+            return answer
+        if answer.status in (HTTPStatus.OK, HTTPStatus.CREATED):
+            item = _parse_object(answer.document)
+            if item is None:
+                return Unknown(reason="malformed answer")
+            return Written(version=str(item.revision))
+        if answer.status in (HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND):
+            return Conflicted()
+        return Unavailable(reason=f"status {answer.status}")
+
+    def _path(self, kind: str, name: str | None = None) -> str:
+        path = f"{self._root}/{quote(kind, safe='')}"
+        return path if name is None else f"{path}/{quote(name, safe='')}"
+
+    async def _call(
+        self,
+        counted: str,
+        method: str,
+        path: str,
+        *,
+        params: dict[str, str] | None = None,
+        body: object = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> _Answer | Unavailable | Unknown:
+        """Return the answer; `Unknown` where the call may have been carried out."""
+        self.calls[counted] += 1
+        if self._session is None:
+            return Unavailable(reason="closed")
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, path, params=params, json=body, timeout=timeout
+            ) as reply:
+                text = await reply.read()
+                status = reply.status
+        except aiohttp.ClientConnectorError as exc:
+            return Unavailable(reason=type(exc).__name__)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            return Unknown(reason=type(exc).__name__)
+        if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
+            return Unavailable(reason=f"status {status}")
+        try:
+            return _Answer(status=status, document=json.loads(text) if text else None)
+        except ValueError:
+            return Unknown(reason=f"malformed answer of status {status}")
+
+
+def _parse_page(answer: _Answer) -> ObjectList | Unavailable:
+    document = answer.document
+    if answer.status != HTTPStatus.OK or not isinstance(document, dict):
+        return Unavailable(reason=f"status {answer.status}")
+    rows, revision = document.get("items"), document.get("storeRevision")
+    if not isinstance(rows, list) or not isinstance(revision, int):
+        return Unavailable(reason="malformed list")
+    items = [_parse_object(row) for row in rows]
+    return ObjectList(
+        revision=revision, items=tuple(item for item in items if item is not None)
+    )
+
+
+def _parse_changes(answer: _Answer) -> ChangeList | Unavailable:
+    document = answer.document
+    if answer.status != HTTPStatus.OK or not isinstance(document, dict):
+        return Unavailable(reason=f"status {answer.status}")
+    rows, revision = document.get("events"), document.get("storeRevision")
+    if not isinstance(rows, list) or not isinstance(revision, int):
+        return Unavailable(reason="malformed events")
+    changes = []
+    for row in rows:
+        item = _parse_object(row.get("object")) if isinstance(row, dict) else None
+        if item is not None:
+            is_deleted = row.get("deleted") is True
+            changes.append(ObjectChange(item=item, is_deleted=is_deleted))
+    return ChangeList(revision=revision, changes=tuple(changes))
+
+
+def _parse_object(row: Any) -> StoreObject | None:
+    """Return an object, or None where not even its name can be read."""
+    metadata = row.get("metadata") if isinstance(row, dict) else None
+    if not isinstance(metadata, dict):
+        return None
+    name, revision = metadata.get("name"), metadata.get("revision")
+    if not isinstance(name, str) or not isinstance(revision, int):
+        return None
+    return StoreObject(
+        name=name,
+        revision=revision,
+        spec=row.get("spec"),
+        status=row.get("status"),
+    )
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -9,11 +9,11 @@
 from bench.cluster_costs import ClusterCost, make_intents, measure_cluster
 from bench.virtual import VirtualHost, World
 from bench.virtual.deployment import add_host, make_deployment
+from siskinpier.core.cluster_revisions import get_hosts_behind
 from siskinpier.core.events import ShutdownRequested
 from siskinpier.core.intents import ServerState
 from siskinpier.core.orders import OrderResult, OrderStatus, SetServerState
 from siskinpier.core.placement import LiveHost, place_service
-from siskinpier.core.questions import get_hosts_behind
 from siskinpier.core.readiness import get_lack
 from siskinpier.core.state import Lifecycle
 
