Prefer servers that are fast now, and hedge calls whose server slows

Ruled out: queues (few calls waited), ejections; a slow server looks healthy.

Budgets of repeats lie with the homes.

--- a/src/siskinpier/core/attempts.py
+++ b/src/siskinpier/core/attempts.py
@@ -37,7 +37,13 @@
     server.in_flight += 1
     _log_route(active, server, reason, now, out)
     if active.holder:
-        message = SlotGrant(call=active.holders_id, ask=active.ask, server=target)
+        message = SlotGrant(
+            call=active.holders_id,
+            ask=active.ask,
+            server=target,
+            number=number,
+            is_hedge=active.rival is not None,
+        )
         out.append(
             SendMessage(
                 host=active.holder, address=active.holder_address, message=message
@@ -153,6 +159,7 @@
         host=grant.holder,
         call=grant.call_id,
         ask=grant.ask,
+        number=grant.number,
         use=use,
         latency_s=round(attempt.latency_s or 0.0, 4),
         load=attempt.load,
--- a/src/siskinpier/core/balance.py
+++ b/src/siskinpier/core/balance.py
@@ -88,6 +88,10 @@
     """Return the cost of sending one more call; lower is better."""
     latency_s = server.latency_s or UNKNOWN_LATENCY_S
     penalty = 1.0 + FAILURE_PENALTY * server.failure_share
+    if server.report is not None:
+        # Calls beside it in other slots slow a call little.
+        slots = max(1, server.intent.slots)
+        return (slots + server.in_flight) / slots * sqrt(latency_s) * penalty
     return (server.in_flight + 1) * sqrt(latency_s) * penalty
 
 
--- a/src/siskinpier/core/calls.py
+++ b/src/siskinpier/core/calls.py
@@ -69,6 +69,7 @@
     holder: str
     call_id: str
     ask: int
+    number: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -117,6 +118,8 @@
     holder: str = ""
     holder_address: str = ""
     holders_id: str = ""
+    # Whether the holder sent the call to a server before.
+    is_repeat: bool = False
     # Servers that the holder has tried.
     avoided: frozenset[str] = frozenset()
 
@@ -132,6 +135,23 @@
                 return attempt
         return None
 
+    def has_been_sent(self) -> bool:
+        """Return True if an attempt may have reached a backend server."""
+        return any(not attempt.is_unreachable for attempt in self.attempts)
+
+    def list_running(self) -> list[Attempt]:
+        """Return the latest attempt and its rival."""
+        return [a for a in (self.attempt, self.rival) if a is not None]
+
+    def end_attempt(self, ended: Attempt) -> bool:
+        """Drop one of two attempts; return False if no other one runs."""
+        other = self.rival if ended is self.attempt else self.attempt
+        if self.rival is None or other is None:
+            return False
+        self.rival = None
+        self.make_current(other)
+        return True
+
     def make_current(self, attempt: Attempt) -> None:
         """Let an earlier attempt take the place of the latest."""
         self.attempts.remove(attempt)
--- a/src/siskinpier/core/cluster.py
+++ b/src/siskinpier/core/cluster.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from .balance import ServerRuntime
+from .budgets import TokenBucket
 from .dissemination import (
     compare_digest,
     judge_members,
@@ -309,7 +310,7 @@
 
 
 def make_service(
-    intent: ServiceIntent, old: ServiceRuntime | None, now: float
+    state: HostState, intent: ServiceIntent, old: ServiceRuntime | None, now: float
 ) -> ServiceRuntime:
     """Return the runtime of a service, keeping what was learnt of its servers."""
     known = old.servers if old is not None else {}
@@ -327,8 +328,14 @@
             runtime.warm_from = now
         runtime.intent = server
     if old is None:
+        burst = state.settings.repeat_burst
         return ServiceRuntime(
-            intent=intent, placement=NO_PLACEMENT, servers=servers, owned=[]
+            intent=intent,
+            placement=NO_PLACEMENT,
+            servers=servers,
+            owned=[],
+            retries=TokenBucket(rate=0.0, capacity=burst, tokens=burst),
+            hedges=TokenBucket(rate=0.0, capacity=burst, tokens=burst),
         )
     old.intent = intent
     old.servers = servers
--- a/src/siskinpier/core/configuration.py
+++ b/src/siskinpier/core/configuration.py
@@ -282,7 +282,7 @@
     old = state.services
     state.services = {
         intent.name: make_service(
-            fill_service(state, intent), old.get(intent.name), now
+            state, fill_service(state, intent), old.get(intent.name), now
         )
         for intent in state.intents.services
     }
--- a/src/siskinpier/core/dispatch.py
+++ b/src/siskinpier/core/dispatch.py
@@ -7,7 +7,7 @@
 from .attempts import forward, send
 from .balance import ServerRuntime, choose_server, has_room, has_tried_all, is_draining
 from .calls import ActiveCall, Stage
-from .candidates import choose_owned
+from .candidates import choose_among, choose_owned
 from .effects import Effect, LogDecision
 from .forwarding import choose_peer, list_forwardable, report_spare, take_spare
 from .hedging import plan_hedge
@@ -135,8 +135,7 @@
     """
     for call_id in service.queue.get_call_ids(last=OVERTAKEN_LIMIT):
         active = state.calls[call_id]
-        tried = active.get_tried()
-        server = choose_server(servers, now, tried, idempotent=active.idempotent)
+        server = choose_among(service, servers, active, now)
         if server is not None:
             return active, server
     return None
--- a/src/siskinpier/core/hedging.py
+++ b/src/siskinpier/core/hedging.py
@@ -9,11 +9,12 @@
 from typing import Final
 
 from .attempts import release, send
-from .balance import choose_server
+from .balance import ServerRuntime, choose_server
 from .calls import ActiveCall, Attempt, Stage
 from .effects import AbandonAttempt, Effect, SetTimer
 from .health import record_slow
 from .quarantine import is_quarantined
+from .speeds import estimate_rest_s, is_slow
 from .state import HostState, ServiceRuntime
 from .timers import HedgeDue
 
@@ -28,10 +29,10 @@
     """Set the time at which a call just sent counts as slow."""
     if service.intent.hedge_share == 0.0 or service.hedge_after_s == 0.0:
         return
-    if active.holder:
-        return
     if not active.idempotent or not active.call.replayable or len(active.attempts) > 1:
         return
+    if active.attempts_limit < 2 or active.is_repeat:
+        return
     active.hedge_timer_set = True
     timer = HedgeDue(call_id=active.call.call_id)
     out.append(SetTimer(timer=timer, at=now + service.hedge_after_s))
@@ -49,7 +50,8 @@
         return
     server = None
     if len(service.queue) == 0:
-        server = choose_server(service.owned, now, active.get_tried())
+        fast = [s for s in service.owned if not is_slow(s, now)]
+        server = choose_server(fast, now, active.get_tried())
     if server is None:
         again_s = service.hedge_after_s * AGAIN_SHARE
         out.append(SetTimer(timer=HedgeDue(call_id=call_id), at=now + again_s))
@@ -60,6 +62,48 @@
     send(active, server, now, "hedge", out)
 
 
+def hedge_slowed(
+    state: HostState,
+    service: ServiceRuntime,
+    slowed: ServerRuntime,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Send calls elsewhere too whose server just became slow, where it helps.
+
+    It helps where the call would miss its aim there and keep it elsewhere.
+    """
+    if len(service.queue) > 0:
+        return
+    for active in list(state.calls.values()):
+        attempt = active.attempt
+        if attempt is None or attempt.target != slowed.intent.name:
+            continue
+        if not _may_hedge(active) or is_quarantined(state, active.call, now):
+            continue
+        rest_s = estimate_rest_s(service, slowed, now - attempt.started, now)
+        aim = active.arrived + (active.aim_s or service.usual_s)
+        if now + rest_s <= aim or now + service.usual_s > aim:
+            continue
+        fast = [s for s in service.owned if not is_slow(s, now)]
+        server = choose_server(fast, now, active.get_tried())
+        if server is None or not service.hedges.take(now):
+            return
+        active.rival = attempt
+        send(active, server, now, "hedge-slowed", out)
+
+
+def _may_hedge(active: ActiveCall) -> bool:
+    return (
+        active.stage is Stage.SENT
+        and active.rival is None
+        and active.idempotent
+        and active.call.replayable
+        and len(active.attempts) < active.attempts_limit
+        and not active.is_repeat
+    )
+
+
 def drop_rival(
     service: ServiceRuntime | None, active: ActiveCall, now: float, out: list[Effect]
 ) -> None:
--- a/src/siskinpier/core/load_reports.py
+++ b/src/siskinpier/core/load_reports.py
@@ -10,8 +10,6 @@
 from .balance import ServerRuntime
 from .calls import LoadReport
 
-# A report says nothing any more of the speed after this long, seconds.
-SPEED_KNOWN_S: Final = 0.5
 LEAST_SLOWDOWN: Final = 0.2
 MOST_SLOWDOWN: Final = 50.0
 
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -164,7 +164,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlotRequest:
-    """Ask the home of a service for a slot; times left are in seconds."""
+    """Ask the home of a service for a slot; times left are in seconds.
+
+    A request `is_repeat` if the call reached a backend server before.
+    """
 
     host: str
     call: str
@@ -172,19 +175,27 @@
     service: str
     urgency: int
     idempotent: bool
+    attempts_left: int
     left_s: float
     aim_left_s: float
     tried: tuple[str, ...]
     fingerprint: str
+    is_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlotGrant:
-    """The call may be sent once to a backend server."""
+    """The call may be sent once to a backend server.
+
+    `number` tells apart the grants for one request. With `is_hedge` the server is
+    for a second attempt beside the one that runs.
+    """
 
     call: str
     ask: int
     server: str
+    number: int = 0
+    is_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -219,7 +230,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlotEnd:
-    """A slot is free again, or the request for one is withdrawn.
+    """A slot is free again; without a `number`, the request and all its grants end.
 
     `load` is what the server reported with its answer.
     """
@@ -227,6 +238,7 @@
     host: str
     call: str
     ask: int
+    number: int | None
     use: SlotUse
     latency_s: float
     load: LoadReport | None = None
--- a/src/siskinpier/core/probing.py
+++ b/src/siskinpier/core/probing.py
@@ -7,9 +7,9 @@
 from .events import ProbeAnswered
 from .health import record_probe
 from .limits import refresh_limits
-from .load_reports import take_load
 from .probe_budget import note_probe_bytes, refresh_bucket
 from .server_marks import note_server_leaving
+from .speed_changes import take_speed
 from .state import HostState, ServiceRuntime
 from .timers import ProbesDue
 
@@ -45,7 +45,7 @@
         return
     note_probe_bytes(service, event.bytes_used)
     if event.report is not None:
-        take_load(server, event.report, event.now)
+        take_speed(state, service, server, event.report, event.now, out)
     is_healthy = event.latency_s is not None
     if is_healthy or event.draining:
         # A probe without an answer does not tell that a drain was called off.
--- a/src/siskinpier/core/problems.py
+++ b/src/siskinpier/core/problems.py
@@ -47,6 +47,17 @@
     )
 
 
+def make_no_retry(service: str) -> Problem:
+    """Return the refusal of another attempt that the budget does not allow."""
+    return Problem(
+        status=503,
+        title="No retry left",
+        detail=f"the retry budget of {service!r} is used up",
+        verdict=Verdict.NOT_RUN,
+        retry_after_s=RETRY_SOON_S,
+    )
+
+
 def make_overloaded(
     service: str, retry_after_s: float, verdict: Verdict = Verdict.NOT_RUN
 ) -> Problem:
--- a/src/siskinpier/core/registry.py
+++ b/src/siskinpier/core/registry.py
@@ -118,7 +118,7 @@
         old = state.services.get(name)
         if old is None:
             continue
-        service = make_service(fill_service(state, old.intent), old, now)
+        service = make_service(state, fill_service(state, old.intent), old, now)
         state.services[name] = service
         place(state, service, hosts)
         drain_queue(state, service, now, out)
--- a/src/siskinpier/core/replies.py
+++ b/src/siskinpier/core/replies.py
@@ -9,11 +9,12 @@
 from .events import AttemptFailed, ReplyFinished, ReplyStarted
 from .health import record_success
 from .hedging import drop_rival, fall_back_to_rival, learn_hedge_time
-from .load_reports import take_load
 from .problems import make_attempt_failed
 from .refusals import forget, refuse
 from .retrying import note_verdict, try_again
 from .server_marks import note_server_leaving
+from .speed_changes import take_speed
+from .speeds import learn_usual_time
 from .state import HostState
 from .verdict import AttemptFailure, Verdict, get_failure_verdict, get_reply_verdict
 
@@ -38,7 +39,7 @@
         server.reported_load = event.load
         attempt.load = event.report
         if event.report is not None:
-            take_load(server, event.report, event.now)
+            take_speed(state, service, server, event.report, event.now, out)
     verdict = get_reply_verdict(
         event.status, service.intent.not_run_statuses, event.verdict
     )
@@ -82,6 +83,7 @@
             record_success(server, latency_s, event.now)
             learn_service_time(service, latency_s)
             learn_hedge_time(service, latency_s)
+            learn_usual_time(service, latency_s)
     drain_queue(state, service, event.now, out)
 
 
--- a/src/siskinpier/core/retrying.py
+++ b/src/siskinpier/core/retrying.py
@@ -37,7 +37,11 @@
         return False
     if not has_other_target(state, service, active, now):
         return False
-    if now >= active.call.deadline or not service.retries.take(now):
+    if now >= active.call.deadline:
+        return False
+    # Where another host grants slots, it holds the budget too.
+    is_own_budget = bool(service.owned) or not state.settings.grants_slots
+    if is_own_budget and active.has_been_sent() and not service.retries.take(now):
         return False
     attempt = active.attempt
     if attempt is not None:
--- a/src/siskinpier/core/slot_requests.py
+++ b/src/siskinpier/core/slot_requests.py
@@ -48,10 +48,12 @@
         service=active.call.service,
         urgency=active.urgency,
         idempotent=active.idempotent,
+        attempts_left=active.attempts_limit - len(active.attempts),
         left_s=round(active.call.deadline - now, 4),
         aim_left_s=round(active.aim_s - (now - active.arrived), 4),
         tried=tuple(sorted(active.get_tried())),
         fingerprint=active.call.fingerprint,
+        is_repeat=active.has_been_sent(),
     )
     out.append(SendMessage(host=home, address=member.peers, message=message))
     is_near = member.failure_domain == state.identity.failure_domain
@@ -62,13 +64,19 @@
 
 
 def withdraw(
-    state: HostState, home: str, call_id: str, ask: int, out: list[Effect]
+    state: HostState,
+    home: str,
+    call_id: str,
+    ask: int,
+    out: list[Effect],
+    number: int | None = None,
 ) -> None:
-    """Tell a home that a slot is not wanted, or that its grant was not used."""
+    """Tell a home that no slot is wanted, or that one of its grants is not used."""
     message = SlotEnd(
         host=state.identity.name,
         call=call_id,
         ask=ask,
+        number=number,
         use=SlotUse.UNUSED,
         latency_s=0.0,
     )
--- a/src/siskinpier/core/slots.py
+++ b/src/siskinpier/core/slots.py
@@ -8,13 +8,12 @@
 from typing import Final
 
 from .attempts import learn_service_time, note_failure, release, send
-from .balance import is_draining
-from .calls import ActiveCall, Call, Grant, Stage
+from .balance import ServerRuntime, is_draining
+from .calls import ActiveCall, Attempt, Call, Grant, Stage
 from .dispatch import drain_queue, place_call
 from .effects import Effect, LogDecision, SendMessage, SetTimer
 from .health import record_success
 from .hedging import learn_hedge_time
-from .load_reports import take_load
 from .members import Member
 from .messages import (
     SlotEnd,
@@ -24,9 +23,11 @@
     SlotRequest,
     SlotUse,
 )
-from .problems import make_no_server
+from .problems import make_no_retry, make_no_server
 from .refusals import forget, refuse
 from .slot_requests import ask_slot, withdraw
+from .speed_changes import take_speed
+from .speeds import learn_usual_time
 from .state import HostState, ServiceRuntime
 from .timers import CallDeadline, SlotDue
 from .verdict import AttemptFailure, Problem
@@ -50,6 +51,9 @@
     if service is None or not service.owned:
         refuse(active, make_no_server(request.service, active.worst), out)
         return
+    if not _take_budget(service, request, now):
+        refuse(active, make_no_retry(request.service), out)
+        return
     state.calls[call_id] = active
     out.append(SetTimer(timer=CallDeadline(call_id=call_id), at=active.call.deadline))
     place_call(state, service, active, now, out)
@@ -64,14 +68,23 @@
     if active is None:
         return
     service = state.services.get(active.call.service)
-    if service is not None:
-        service.queue.remove(active)
-    forget(state, active, out)
     if service is None:
+        forget(state, active, out)
         return
-    if active.attempt is not None:
-        _learn(service, active, message, now, out)
-        release(service, active.attempt, out)
+    if message.number is None:
+        service.queue.remove(active)
+        for attempt in active.list_running():
+            release(service, attempt, out)
+        forget(state, active, out)
+        drain_queue(state, service, now, out)
+        return
+    ended = active.get_running(message.number)
+    if ended is None:
+        return
+    _learn(state, service, ended, message, now, out)
+    release(service, ended, out)
+    if not active.end_attempt(ended):
+        forget(state, active, out)
     drain_queue(state, service, now, out)
 
 
@@ -80,8 +93,11 @@
 ) -> None:
     """Send a call to the backend server that its home granted, once."""
     active = state.calls.get(grant.call)
+    if active is not None and grant.is_hedge:
+        _take_hedge(state, active, grant, sender, now, out)
+        return
     if active is None or not _is_awaited(active, sender, grant.ask):
-        withdraw(state, sender, grant.call, grant.ask, out)
+        withdraw(state, sender, grant.call, grant.ask, out, grant.number)
         return
     service = state.services.get(active.call.service)
     server = service.servers.get(grant.server) if service is not None else None
@@ -90,17 +106,59 @@
         withdraw(state, sender, grant.call, grant.ask, out)
         _look_elsewhere(state, active, now, out)
         return
-    send(active, server, now, "granted", out)
+    _send_granted(state, active, server, grant, home, "granted", now, out)
+
+
+def _send_granted(
+    state: HostState,
+    active: ActiveCall,
+    server: ServerRuntime,
+    grant: SlotGrant,
+    home: Member,
+    reason: str,
+    now: float,
+    out: list[Effect],
+) -> None:
+    send(active, server, now, reason, out)
     if active.attempt is not None:
         active.attempt.grant = Grant(
-            home=sender,
+            home=home.name,
             address=home.peers,
             holder=state.identity.name,
             call_id=grant.call,
             ask=grant.ask,
+            number=grant.number,
         )
 
 
+def _take_hedge(
+    state: HostState,
+    active: ActiveCall,
+    grant: SlotGrant,
+    sender: str,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Send a second attempt beside the one that runs, if it still waits."""
+    service = state.services.get(active.call.service)
+    server = service.servers.get(grant.server) if service is not None else None
+    home = state.members.get(sender)
+    may_send = (
+        active.stage is Stage.SENT
+        and active.rival is None
+        and active.idempotent
+        and active.call.replayable
+        and len(active.attempts) < active.attempts_limit
+        and active.ask == grant.ask
+        and grant.server not in active.get_tried()
+    )
+    if server is None or home is None or is_draining(server) or not may_send:
+        withdraw(state, sender, grant.call, grant.ask, out, grant.number)
+        return
+    active.rival = active.attempt
+    _send_granted(state, active, server, grant, home, "hedge", now, out)
+
+
 def take_queued(state: HostState, message: SlotQueued, sender: str) -> None:
     """Note that a call waits in its home's queue."""
     active = state.calls.get(message.call)
@@ -190,33 +248,45 @@
         urgency=request.urgency,
         idempotent=request.idempotent,
         arrived=now,
+        attempts_limit=request.attempts_left,
         aim_s=request.aim_left_s,
         ask=request.ask,
         holder=request.host,
         holder_address=holder.peers,
         holders_id=request.call,
         avoided=frozenset(request.tried),
+        is_repeat=request.is_repeat,
     )
 
 
+def _take_budget(service: ServiceRuntime, request: SlotRequest, now: float) -> bool:
+    """Count a fresh call, or take the token that a repeat costs."""
+    if request.is_repeat:
+        return service.retries.take(now)
+    service.retries.add(service.intent.retry_share)
+    service.hedges.add(service.intent.hedge_share)
+    return True
+
+
 def _learn(
+    state: HostState,
     service: ServiceRuntime,
-    active: ActiveCall,
+    attempt: Attempt,
     message: SlotEnd,
     now: float,
     out: list[Effect],
 ) -> None:
-    attempt = active.attempt
-    server = service.servers.get(attempt.target) if attempt is not None else None
-    if attempt is None or server is None:
+    server = service.servers.get(attempt.target)
+    if server is None:
         return
     if message.load is not None:
-        take_load(server, message.load, now)
+        take_speed(state, service, server, message.load, now, out)
     match message.use:
         case SlotUse.ANSWERED:
             record_success(server, message.latency_s, now)
             learn_service_time(service, message.latency_s)
             learn_hedge_time(service, message.latency_s)
+            learn_usual_time(service, message.latency_s)
         case SlotUse.FAILED:
             note_failure(service, attempt, now, out)
         case SlotUse.UNREACHABLE:
--- /dev/null
+++ b/src/siskinpier/core/speeds.py
@@ -0,0 +1,60 @@
+"""How fast backend servers are at this moment, from what they report.
+
+Neighbours on a server's machine slow it for a part of a second at a time. A report
+of that counts for a short while; then the server is as good as any other.
+"""
+
+from typing import Final
+
+from .balance import ServerRuntime
+from .state import ServiceRuntime
+
+# A report says nothing any more of the speed after this long, seconds.
+SPEED_KNOWN_S: Final = 0.5
+# A server that takes this many times longer than usual counts as slow.
+SLOW_FROM: Final = 2.0
+# How long a server that is slow now stays so, on average, seconds.
+SLOW_LASTS_S: Final = 0.35
+# Step of the median of run times, as a share of it.
+MEDIAN_STEP: Final = 0.05
+
+
+def get_slowdown(server: ServerRuntime, now: float) -> float:
+    """Return how many times longer than usual work takes; 1 where it is unknown."""
+    if server.report is None or now - server.reported_at > SPEED_KNOWN_S:
+        return 1.0
+    return server.slowdown
+
+
+def is_slow(server: ServerRuntime, now: float) -> bool:
+    """Return True if the server reported lately that its work takes much longer."""
+    return get_slowdown(server, now) >= SLOW_FROM
+
+
+def estimate_run_s(service: ServiceRuntime, server: ServerRuntime, now: float) -> float:
+    """Return how long a call that is sent now is likely to take, in seconds."""
+    slowdown = get_slowdown(server, now)
+    if slowdown < SLOW_FROM:
+        return service.usual_s * slowdown
+    # The server is likely to become fast again before work ends.
+    return min(service.usual_s * slowdown, SLOW_LASTS_S + service.usual_s)
+
+
+def estimate_rest_s(
+    service: ServiceRuntime, server: ServerRuntime, elapsed_s: float, now: float
+) -> float:
+    """Return how much longer a call that runs there is likely to take."""
+    work_s = max(0.0, service.usual_s - elapsed_s)
+    slowdown = get_slowdown(server, now)
+    if slowdown < SLOW_FROM:
+        return work_s
+    return min(work_s * slowdown, SLOW_LASTS_S + work_s)
+
+
+def learn_usual_time(service: ServiceRuntime, latency_s: float) -> None:
+    """Follow the median of run times, which slow spells hardly move."""
+    if service.usual_s == 0.0:
+        service.usual_s = latency_s
+        return
+    step_s = MEDIAN_STEP * service.usual_s
+    service.usual_s += step_s if latency_s > service.usual_s else -step_s
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -63,8 +63,8 @@
     grants_slots: bool = False
     # Hosts that watch the platform, in each failure domain.
     watchers_per_domain: int = 2
-    # Retries, beyond the share of fresh calls, that all hosts may make in a burst.
-    retry_slack: float = 0.0
+    # Retries, and as many hedges, that a host may make of a service in a burst.
+    repeat_burst: float = RETRY_TOKENS_KEPT
 
 
 @dataclass(slots=True, kw_only=True)
@@ -85,6 +85,8 @@
         default_factory=lambda: TokenBucket(rate=0.0, capacity=1.0)
     )
     service_time_s: float = 0.0
+    # Median of the run times of calls, seconds.
+    usual_s: float = 0.0
     probe_bytes: float = 0.0
     ranked_names: tuple[str, ...] = ()
     ranked_hosts: list[str] = field(default_factory=list)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -51,6 +51,9 @@
 ANNOUNCE_S: Final = 3.0
 # Time kept between the last answer and the platform's SIGKILL, seconds.
 END_MARGIN_S: Final = 0.5
+# Part of the allowance beside the share of calls that one home may use at once.
+# Three homes of a service with retries and hedges leave room for their successors.
+BURST_PART: Final = 0.1
 # Less than the time after which backend servers close an idle connection.
 KEEP_ALIVE_S: Final = 4.0
 
@@ -175,7 +178,7 @@
             platform_writes_per_second=settings.writes_per_second,
             servers_register=True,
             grants_slots=True,
-            retry_slack=settings.retry_slack,
+            repeat_burst=max(1.0, settings.retry_slack * BURST_PART),
         ),
         parse_intents=lambda spec: None,
         seed=time.time_ns(),
