Lead callers by slots, and cross failure domains where it pays

Change: answers about addresses name the more hosts of a domain the more slots are there. A call that would wait or take a slow server asks a home elsewhere for a free fast slot, if that raises its chance enough for its bytes.

Ruled out: telling homes of each other's room, as bytes between domains cost more.

Lookups at Hanul still miss their aim of 100 ms too often.

--- a/src/siskinpier/core/address_choice.py
+++ b/src/siskinpier/core/address_choice.py
@@ -1,37 +1,98 @@
 """Which entry hosts the callers of a virtual host are led to.
 
-Callers pick one of the addresses at random, so a host that should get more of
-them is no stronger in the list than another; the list itself is what steers.
+Callers pick one of the addresses at random. So the answer names the more hosts of a
+failure domain, the more slots the services behind the virtual host have there: calls
+then find a free slot in the failure domain that they reached.
 """
 
-from typing import Final
+from collections.abc import Mapping
+from math import ceil
 
 from .addresses import AddressAnswer
+from .balance import is_draining
 from .cluster import get_live_hosts
+from .rendezvous import rank_nodes
 from .state import HostState
 
-# Fewer hosts of the caller's own failure domain than this are too few.
-FEWEST_NEAR: Final = 2
-KEEP_S: Final = 2.0
+# How long callers may keep an answer, seconds.
+KEEP_S = 2.0
 
 
 def choose_addresses(
-    state: HostState, *, virtual_host: str, failure_domain: str, now: float
+    state: HostState, *, virtual_host: str, now: float
 ) -> AddressAnswer | None:
-    """Return the hosts of the caller's failure domain, or all where few live."""
-    hosts = get_live_hosts(state, now)
-    if not hosts:
+    """Return the hosts for the callers of a virtual host; None while none is known."""
+    by_domain: dict[str, list[str]] = {}
+    for host in get_live_hosts(state, now):
+        by_domain.setdefault(host.failure_domain, []).append(host.name)
+    if not by_domain:
         return None
-    near = [host for host in hosts if host.failure_domain == failure_domain]
-    chosen = near if len(near) >= FEWEST_NEAR else hosts
+    shares = get_domain_shares(state, virtual_host, now)
+    sizes = {domain: len(names) for domain, names in by_domain.items()}
+    counts = count_hosts(sizes, shares)
+    chosen = [
+        name
+        for domain, names in sorted(by_domain.items())
+        for name in rank_nodes(virtual_host, names)[: counts[domain]]
+    ]
     return AddressAnswer(
         service=virtual_host,
-        addresses=tuple(_get_address(state, host.name) for host in chosen),
+        addresses=tuple(_get_address(state, name) for name in chosen),
         keep_s=min(KEEP_S, state.settings.address_ttl_s),
         revision=state.intents.revision,
     )
 
 
+def get_domain_shares(
+    state: HostState, virtual_host: str, now: float
+) -> dict[str, float]:
+    """Return each failure domain's part of the slots that the calls need.
+
+    A virtual host leads to several services; each counts by its part of the calls.
+    """
+    shares: dict[str, float] = {}
+    for route in state.routes.by_virtual_host.get(virtual_host, ()):
+        weight = state.routes.get_load(route).get_calls(now) + 1.0
+        total = sum(part.weight for part in route.services) or 1.0
+        for part in route.services:
+            for domain, share in _get_slot_shares(state, part.service).items():
+                gain = weight * part.weight / total * share
+                shares[domain] = shares.get(domain, 0.0) + gain
+    total = sum(shares.values())
+    return {domain: share / total for domain, share in shares.items() if total > 0.0}
+
+
+def count_hosts(
+    sizes: Mapping[str, int], shares: Mapping[str, float]
+) -> dict[str, int]:
+    """Return how many of each failure domain's hosts to name, in the given parts.
+
+    As many as possible are named; a domain with hosts is never left out.
+    """
+    scales = [sizes[domain] / shares[domain] for domain in sizes if shares.get(domain)]
+    if not scales:
+        return dict(sizes)
+    # A domain that has few hosts for its part bounds the others only so far.
+    scale = max(min(scales), sum(sizes.values()) / 2)
+    return {
+        domain: min(size, max(1, ceil(scale * shares.get(domain, 0.0) - 0.5)))
+        for domain, size in sizes.items()
+    }
+
+
+def _get_slot_shares(state: HostState, name: str) -> dict[str, float]:
+    service = state.services.get(name)
+    if service is None:
+        return {}
+    slots: dict[str, float] = {}
+    for server in service.servers.values():
+        if not is_draining(server):
+            domain = server.intent.failure_domain
+            slots[domain] = slots.get(domain, 0.0) + server.intent.slots
+    total = sum(slots.values())
+    return {domain: count / total for domain, count in slots.items()}
+
+
 def _get_address(state: HostState, name: str) -> str:
     if name == state.identity.name:
         return state.identity.callers
--- a/src/siskinpier/core/attempts.py
+++ b/src/siskinpier/core/attempts.py
@@ -9,7 +9,7 @@
 from .health import record_failure
 from .members import Member
 from .messages import SlotEnd, SlotGrant, SlotUse
-from .slot_requests import withdraw
+from .slot_requests import drop_asks
 from .state import HostState, ServiceRuntime
 from .verdict import AttemptFailure
 from .waiting import FORWARD_MARGIN_S
@@ -34,6 +34,7 @@
         Attempt(number=number, target=target, is_forward=False, started=now)
     )
     active.stage = Stage.SENT
+    drop_asks(active, out)
     server.in_flight += 1
     _log_route(active, server, reason, now, out)
     if active.holder:
@@ -121,8 +122,7 @@
     if service is not None:
         service.queue.remove(active)
     attempt = active.attempt
-    if active.stage is Stage.ASKING:
-        withdraw(state, active.asked, active.call.call_id, active.ask, out)
+    drop_asks(active, out)
     if attempt is None or active.stage not in (Stage.SENT, Stage.RELAYING):
         return
     out.append(AbandonAttempt(call_id=active.call.call_id, attempt=attempt.number))
--- a/src/siskinpier/core/calls.py
+++ b/src/siskinpier/core/calls.py
@@ -4,6 +4,7 @@
 from enum import Enum, auto
 from typing import Final
 
+from .intents import Route
 from .verdict import Verdict
 
 DEFAULT_ATTEMPTS_LIMIT: Final = 3
@@ -35,6 +36,8 @@
     at_most_once: bool = False
     claimed: bool = False
     virtual_host: str = ""
+    # Bytes of the body.
+    size: int = 0
 
 
 class Stage(Enum):
@@ -60,6 +63,19 @@
     slowdown: float = 1.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ask:
+    """A request for a slot that is on its way; `holder` is the host that asks.
+
+    With `is_spare` it is one beside the request to the call's own home.
+    """
+
+    home: str
+    address: str
+    holder: str
+    is_spare: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Grant:
     """The home that granted an attempt its slot, and for which request."""
@@ -110,10 +126,17 @@
     hedge_timer_set: bool = False
     attempts_limit: int = DEFAULT_ATTEMPTS_LIMIT
     aim_s: float = 0.0
+    route: Route | None = None
     asked: str = ""
     asked_at: float = 0.0
     ask: int = 0
+    # Requests for a slot that were not answered with one yet, by their numbers.
+    asks: dict[int, Ask] = field(default_factory=dict)
     is_queued_there: bool = False
+    # Bytes of the request, and of the reply that is expected.
+    size: float = 0.0
+    # Until then the call does not settle for a slow server.
+    slow_from: float = 0.0
     refused_by: set[str] = field(default_factory=set)
     holder: str = ""
     holder_address: str = ""
--- a/src/siskinpier/core/candidates.py
+++ b/src/siskinpier/core/candidates.py
@@ -10,14 +10,26 @@
 """
 
 from collections.abc import Sequence
+from math import inf
 from typing import Final
 
-from .balance import ServerRuntime, choose_server, get_slot_limit, is_draining
+from .balance import (
+    ServerRuntime,
+    choose_server,
+    get_slot_limit,
+    has_room,
+    is_draining,
+)
 from .calls import ActiveCall
 from .speeds import estimate_run_s, is_slow
 from .state import ServiceRuntime
 
 COMPARED_SERVERS: Final = 32
+# How long a call waits for word of a free slot elsewhere before it settles for a
+# slow server, seconds.
+PATIENCE_S: Final = 0.012
+# Stands for a wait whose end nobody can tell.
+LONGEST_WAIT_S: Final = 60.0
 
 
 def choose_owned(
@@ -45,6 +57,8 @@
     server = choose_fast(servers, active, now)
     if server is not None:
         return server
+    if now < active.slow_from:
+        return None
     slow = [s for s in servers if is_slow(s, now)]
     server = choose_server(slow, now, active.get_tried(), idempotent=active.idempotent)
     if server is None or _is_wait_better(service, servers, active, server, now):
@@ -60,21 +74,39 @@
     return choose_server(fast, now, active.get_tried(), idempotent=active.idempotent)
 
 
-def _is_wait_better(
+def estimate_answer_s(service: ServiceRuntime, active: ActiveCall, now: float) -> float:
+    """Return the time until a waiting call is likely to be answered, in seconds."""
+    fast_s = _estimate_fast_s(service, service.owned, active, now)
+    slow = [s for s in service.owned if is_slow(s, now) and has_room(s, now)]
+    slow_s = min((estimate_run_s(service, s, now) for s in slow), default=inf)
+    return min(fast_s, slow_s)
+
+
+def _estimate_fast_s(
     service: ServiceRuntime,
     servers: Sequence[ServerRuntime],
     active: ActiveCall,
-    slow: ServerRuntime,
     now: float,
-) -> bool:
-    """Return True if a fast server's next free slot is likely to be sooner."""
+) -> float:
+    """Return the time until an answer from the next free slot of a fast server."""
     slots = sum(
         get_slot_limit(server, now)
         for server in servers
         if not is_slow(server, now) and not is_draining(server)
     )
     if slots == 0:
-        return False
+        return LONGEST_WAIT_S
     ahead = service.queue.count_ahead(active.urgency, active.call.deadline) + 1
-    wait_s = ahead * service.usual_s / slots
-    return wait_s + service.usual_s < estimate_run_s(service, slow, now)
+    return ahead * service.usual_s / slots + service.usual_s
+
+
+def _is_wait_better(
+    service: ServiceRuntime,
+    servers: Sequence[ServerRuntime],
+    active: ActiveCall,
+    slow: ServerRuntime,
+    now: float,
+) -> bool:
+    """Return True if a fast server's next free slot is likely to be sooner."""
+    fast_s = _estimate_fast_s(service, servers, active, now)
+    return fast_s < estimate_run_s(service, slow, now)
--- a/src/siskinpier/core/dispatch.py
+++ b/src/siskinpier/core/dispatch.py
@@ -7,16 +7,23 @@
 from .attempts import forward, send
 from .balance import ServerRuntime, choose_server, has_room, has_tried_all, is_draining
 from .calls import ActiveCall, Stage
-from .candidates import choose_among, choose_owned
-from .effects import Effect, LogDecision
+from .candidates import (
+    PATIENCE_S,
+    choose_among,
+    choose_owned,
+    estimate_answer_s,
+)
+from .crossing import is_crossing_worth, may_cross
+from .effects import Effect, LogDecision, SetTimer
 from .forwarding import choose_peer, list_forwardable, report_spare, take_spare
 from .hedging import plan_hedge
 from .messages import SpareNotice
 from .problems import make_no_server, make_overloaded
 from .quarantine import judge_quarantine
 from .refusals import forget, refuse
-from .slot_requests import ask_slot
+from .slot_requests import ask_slot, ask_spare
 from .state import HostState, ServiceRuntime
+from .timers import PatienceDue
 
 OVERTAKEN_LIMIT: Final = 8
 
@@ -30,9 +37,11 @@
 ) -> None:
     """Send, forward, queue or refuse a call that needs a target."""
     tried = active.get_tried()
+    if state.settings.grants_slots and not active.holder and may_cross(active):
+        active.slow_from = now + PATIENCE_S
     server = choose_owned(service, active, now)
     if server is not None and len(service.queue) > 0:
-        _wait(service, active, out)
+        _wait(service, active, now, out)
         drain_queue(state, service, now, out)
         return
     if server is not None:
@@ -197,12 +206,21 @@
         forget(state, active, out)
         _refuse_overloaded(service, active, now, out)
         return
-    _wait(service, active, out)
+    _wait(service, active, now, out)
+    if active.slow_from > now and not active.holder:
+        expected_s = estimate_answer_s(service, active, now)
+        if is_crossing_worth(active, expected_s, service.usual_s, now):
+            ask_spare(state, service, active, now, out)
 
 
-def _wait(service: ServiceRuntime, active: ActiveCall, out: list[Effect]) -> None:
+def _wait(
+    service: ServiceRuntime, active: ActiveCall, now: float, out: list[Effect]
+) -> None:
     active.stage = Stage.QUEUED
     service.queue.push(active)
+    if active.slow_from > now:
+        timer = PatienceDue(service=active.call.service)
+        out.append(SetTimer(timer=timer, at=active.slow_from))
     out.append(
         LogDecision(
             event="queue",
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -52,12 +52,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplyFinished:
-    """The reply of one attempt arrived whole; `kept` is it, when it is small."""
+    """The reply of one attempt arrived whole; `kept` is it, when it is small.
+
+    `size` is that of its body, in bytes.
+    """
 
     now: float
     call_id: str
     attempt: int
     kept: KeptReply | None = None
+    size: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -166,7 +166,9 @@
 class SlotRequest:
     """Ask the home of a service for a slot; times left are in seconds.
 
-    A request `is_repeat` if the call reached a backend server before.
+    A request `is_repeat` if the call reached a backend server before. One that
+    `may_cross` can be served by another home too, and one `spare_only` is
+    granted at once or refused.
     """
 
     host: str
@@ -181,6 +183,8 @@
     tried: tuple[str, ...]
     fingerprint: str
     is_repeat: bool = False
+    may_cross: bool = False
+    spare_only: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -200,10 +204,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlotQueued:
-    """The call waits at its home."""
+    """The call waits at its home, and is likely to be answered in `expected_s`.
+
+    `usual_s` is how long a run takes on a server that is not slow.
+    """
 
     call: str
     ask: int
+    expected_s: float
+    usual_s: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -23,7 +23,7 @@
     start_order,
     take_intents,
 )
-from .dispatch import take_spare_notice
+from .dispatch import drain_queue, take_spare_notice
 from .effects import Effect
 from .events import (
     AttemptFailed,
@@ -119,6 +119,7 @@
     IntentsPollDue,
     LapseDue,
     OrderRetry,
+    PatienceDue,
     ProbesDue,
     RelayDue,
     ShutdownStep,
@@ -225,6 +226,10 @@
             service = state.services.get(name)
             if service is not None:
                 send_due_spare(state, service, now, out)
+        case PatienceDue(service=name):
+            service = state.services.get(name)
+            if service is not None:
+                drain_queue(state, service, now, out)
         case SlotDue(call_id=call_id):
             check_slot(state, call_id, now, out)
         case RelayDue():
@@ -265,7 +270,7 @@
         case SlotGrant() as message:
             take_grant(state, message, event.sender, event.now, out)
         case SlotQueued() as message:
-            take_queued(state, message, event.sender)
+            take_queued(state, message, event.sender, event.now, out)
         case SlotRefusal() as message:
             take_slot_refusal(state, message, event.sender, event.now, out)
         case SlotEnd() as message:
--- a/src/siskinpier/core/replies.py
+++ b/src/siskinpier/core/replies.py
@@ -74,6 +74,8 @@
     latency_s = event.now - attempt.started
     attempt.latency_s = latency_s
     _log_answer(active, attempt, event.now, out)
+    if active.route is not None:
+        state.routes.get_load(active.route).note_reply(event.size)
     release(service, attempt, out)
     if service is None:
         return
--- a/src/siskinpier/core/routes.py
+++ b/src/siskinpier/core/routes.py
@@ -1,11 +1,45 @@
 """Finding the route of a call, and the service that takes it."""
 
 from dataclasses import dataclass, field, replace
+from math import exp
 from random import Random
+from typing import Final
 
 from .calls import Call
 from .intents import CallRule, Route
 
+# Weight of the newest reply in the mean size, and time in which a route's count of
+# calls falls to a third, seconds.
+SIZE_WEIGHT: Final = 0.05
+LOAD_MEMORY_S: Final = 10.0
+
+
+@dataclass(slots=True, kw_only=True)
+class RouteLoad:
+    """What callers lately asked of a route, as this host saw it.
+
+    `calls` are weighed by their age; `reply_bytes` is a mean.
+    """
+
+    calls: float = 0.0
+    counted_at: float = 0.0
+    reply_bytes: float = 0.0
+
+    def count(self, now: float) -> None:
+        """Count a call."""
+        self.calls = self.get_calls(now) + 1.0
+        self.counted_at = now
+
+    def get_calls(self, now: float) -> float:
+        """Return the calls lately, weighed by their age."""
+        return self.calls * exp((self.counted_at - now) / LOAD_MEMORY_S)
+
+    def note_reply(self, size: int) -> None:
+        """Take in the size of a reply."""
+        if self.reply_bytes == 0.0:
+            self.reply_bytes = float(size)
+        self.reply_bytes += SIZE_WEIGHT * (size - self.reply_bytes)
+
 
 @dataclass(slots=True, kw_only=True)
 class RouteTable:
@@ -17,6 +51,11 @@
 
     by_virtual_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     splits: dict[str, dict[str, float]] = field(default_factory=dict)
+    loads: dict[str, RouteLoad] = field(default_factory=dict)
+
+    def get_load(self, route: Route) -> RouteLoad:
+        """Return what callers lately asked of a route."""
+        return self.loads.setdefault(route.name, RouteLoad())
 
     def find(self, virtual_host: str, path: str) -> Route | None:
         """Return the route of the longest prefix that begins the path, or None."""
@@ -61,6 +100,7 @@
             for host, rows in grouped.items()
         },
         splits={name: owed for name, owed in old.splits.items() if name in names},
+        loads={name: load for name, load in old.loads.items() if name in names},
     )
 
 
--- a/src/siskinpier/core/routing.py
+++ b/src/siskinpier/core/routing.py
@@ -70,6 +70,10 @@
     if route is not None:
         active.attempts_limit = route.attempts
         active.aim_s = route.aim_s
+        load = state.routes.get_load(route)
+        load.count(event.now)
+        active.route = route
+        active.size = call.size + load.reply_bytes
     if needs_claim(active) and call.hops > 0:
         # Only the entry host may claim: two hosts would claim under one call id.
         problem = make_not_ready(UNCLAIMED, judge_unseen(call))
--- a/src/siskinpier/core/slot_requests.py
+++ b/src/siskinpier/core/slot_requests.py
@@ -7,9 +7,11 @@
 from math import inf
 from typing import Final
 
-from .calls import ActiveCall, Stage
+from .calls import ActiveCall, Ask, Stage
+from .crossing import may_cross
 from .effects import Effect, SendMessage, SetTimer
 from .forwarding import choose_peer
+from .members import Member
 from .messages import Message, SlotEnd, SlotRequest, SlotUse
 from .state import HostState, ServiceRuntime
 from .timers import SlotDue
@@ -39,8 +41,71 @@
     active.stage = Stage.ASKING
     active.asked = home
     active.asked_at = now
-    active.ask += 1
     active.is_queued_there = False
+    _ask(state, active, member, now, out, is_spare=False)
+    is_near = member.failure_domain == state.identity.failure_domain
+    wait_s = NEAR_ANSWER_S if is_near else FAR_ANSWER_S
+    timer = SlotDue(call_id=active.call.call_id)
+    out.append(SetTimer(timer=timer, at=now + wait_s))
+    return True
+
+
+def ask_spare(
+    state: HostState,
+    service: ServiceRuntime,
+    active: ActiveCall,
+    now: float,
+    out: list[Effect],
+) -> bool:
+    """Ask a home of another failure domain for a slot that is free at once.
+
+    The call keeps its place at its own home meanwhile.
+    """
+    own = state.identity.failure_domain
+    slots: dict[str, int] = {}
+    for server, home in service.placement.owners.items():
+        slots[home] = slots.get(home, 0) + service.servers[server].intent.slots
+    homes = [
+        member
+        for name in slots
+        if (member := state.members.get(name)) is not None
+        and member.failure_domain != own
+        and member.silent_since is None
+        and name not in active.refused_by
+    ]
+    if not homes:
+        return False
+    best = max(homes, key=lambda member: (slots[member.name], member.name))
+    _ask(state, active, best, now, out, is_spare=True)
+    return True
+
+
+def drop_asks(active: ActiveCall, out: list[Effect], kept: int | None = None) -> None:
+    """Withdraw the requests for a slot that are on their way, but for one."""
+    for number, ask in active.asks.items():
+        if number == kept:
+            continue
+        message = _make_withdrawal(ask.holder, active.call.call_id, number, None)
+        out.append(SendMessage(host=ask.home, address=ask.address, message=message))
+    active.asks.clear()
+
+
+def _ask(
+    state: HostState,
+    active: ActiveCall,
+    home: Member,
+    now: float,
+    out: list[Effect],
+    *,
+    is_spare: bool,
+) -> None:
+    active.ask += 1
+    active.asks[active.ask] = Ask(
+        home=home.name,
+        address=home.peers,
+        holder=state.identity.name,
+        is_spare=is_spare,
+    )
     message = SlotRequest(
         host=state.identity.name,
         call=active.call.call_id,
@@ -54,13 +119,10 @@
         tried=tuple(sorted(active.get_tried())),
         fingerprint=active.call.fingerprint,
         is_repeat=active.has_been_sent(),
+        may_cross=not is_spare and may_cross(active),
+        spare_only=is_spare,
     )
-    out.append(SendMessage(host=home, address=member.peers, message=message))
-    is_near = member.failure_domain == state.identity.failure_domain
-    wait_s = NEAR_ANSWER_S if is_near else FAR_ANSWER_S
-    timer = SlotDue(call_id=active.call.call_id)
-    out.append(SetTimer(timer=timer, at=now + wait_s))
-    return True
+    out.append(SendMessage(host=home.name, address=home.peers, message=message))
 
 
 def withdraw(
@@ -72,15 +134,21 @@
     number: int | None = None,
 ) -> None:
     """Tell a home that no slot is wanted, or that one of its grants is not used."""
-    message = SlotEnd(
-        host=state.identity.name,
+    message = _make_withdrawal(state.identity.name, call_id, ask, number)
+    send_to(state, home, message, out)
+
+
+def _make_withdrawal(
+    holder: str, call_id: str, ask: int, number: int | None
+) -> SlotEnd:
+    return SlotEnd(
+        host=holder,
         call=call_id,
         ask=ask,
         number=number,
         use=SlotUse.UNUSED,
         latency_s=0.0,
     )
-    send_to(state, home, message, out)
 
 
 def send_to(state: HostState, host: str, message: Message, out: list[Effect]) -> None:
--- a/src/siskinpier/core/slots.py
+++ b/src/siskinpier/core/slots.py
@@ -8,8 +8,10 @@
 from typing import Final
 
 from .attempts import learn_service_time, note_failure, release, send
-from .balance import ServerRuntime, is_draining
+from .balance import ServerRuntime, get_slot_limit, has_room, is_draining
 from .calls import ActiveCall, Attempt, Call, Grant, Stage
+from .candidates import PATIENCE_S, choose_fast, estimate_answer_s
+from .crossing import is_crossing_worth
 from .dispatch import drain_queue, place_call
 from .effects import Effect, LogDecision, SendMessage, SetTimer
 from .health import record_success
@@ -25,15 +27,17 @@
 )
 from .problems import make_no_retry, make_no_server
 from .refusals import forget, refuse
-from .slot_requests import ask_slot, withdraw
+from .slot_requests import ask_slot, ask_spare, drop_asks, withdraw
 from .speed_changes import take_speed
-from .speeds import learn_usual_time
+from .speeds import is_slow, learn_usual_time
 from .state import HostState, ServiceRuntime
 from .timers import CallDeadline, SlotDue
 from .verdict import AttemptFailure, Problem
 
 # How often the holder of a queued call looks whether its home lives, seconds.
 QUEUED_CHECK_S: Final = 0.5
+# Free slots of fast servers from which a home gives to other failure domains.
+SPARE_KEPT: Final = 2
 
 
 def take_request(
@@ -56,12 +60,41 @@
         return
     state.calls[call_id] = active
     out.append(SetTimer(timer=CallDeadline(call_id=call_id), at=active.call.deadline))
+    if request.spare_only:
+        _grant_spare(state, service, active, now, out)
+        return
     place_call(state, service, active, now, out)
     if active.stage is Stage.QUEUED and call_id in state.calls:
-        message = SlotQueued(call=request.call, ask=request.ask)
+        message = SlotQueued(
+            call=request.call,
+            ask=request.ask,
+            expected_s=round(estimate_answer_s(service, active, now), 4),
+            usual_s=round(service.usual_s, 4),
+        )
         out.append(SendMessage(host=holder.name, address=holder.peers, message=message))
 
 
+def _grant_spare(
+    state: HostState,
+    service: ServiceRuntime,
+    active: ActiveCall,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Grant a slot that nobody here is likely to need, or refuse."""
+    server = None
+    if len(service.queue) == 0:
+        fast = [s for s in service.owned if not is_slow(s, now) and has_room(s, now)]
+        free = sum(get_slot_limit(s, now) - s.in_flight for s in fast)
+        if free >= SPARE_KEPT:
+            server = choose_fast(fast, active, now)
+    if server is not None:
+        send(active, server, now, "spare", out)
+        return
+    forget(state, active, out)
+    refuse(active, make_no_server(active.call.service, active.worst), out)
+
+
 def take_end(state: HostState, message: SlotEnd, now: float, out: list[Effect]) -> None:
     """Take back a slot, and learn how its server did."""
     active = state.calls.get(_make_id(message.host, message.call, message.ask))
@@ -104,8 +137,11 @@
     home = state.members.get(sender)
     if service is None or server is None or home is None or is_draining(server):
         withdraw(state, sender, grant.call, grant.ask, out)
-        _look_elsewhere(state, active, now, out)
+        ask = active.asks.pop(grant.ask)
+        if not ask.is_spare:
+            _look_elsewhere(state, active, now, out)
         return
+    service.queue.remove(active)
     _send_granted(state, active, server, grant, home, "granted", now, out)
 
 
@@ -119,6 +155,7 @@
     now: float,
     out: list[Effect],
 ) -> None:
+    active.asks.pop(grant.ask, None)
     send(active, server, now, reason, out)
     if active.attempt is not None:
         active.attempt.grant = Grant(
@@ -149,7 +186,6 @@
         and active.idempotent
         and active.call.replayable
         and len(active.attempts) < active.attempts_limit
-        and active.ask == grant.ask
         and grant.server not in active.get_tried()
     )
     if server is None or home is None or is_draining(server) or not may_send:
@@ -159,11 +195,23 @@
     _send_granted(state, active, server, grant, home, "hedge", now, out)
 
 
-def take_queued(state: HostState, message: SlotQueued, sender: str) -> None:
-    """Note that a call waits in its home's queue."""
+def take_queued(
+    state: HostState,
+    message: SlotQueued,
+    sender: str,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Note that a call waits in its home's queue; look for a free slot elsewhere."""
     active = state.calls.get(message.call)
-    if active is not None and _is_awaited(active, sender, message.ask):
-        active.is_queued_there = True
+    if active is None or not _is_awaited(active, sender, message.ask):
+        return
+    active.is_queued_there = True
+    service = state.services.get(active.call.service)
+    if service is None:
+        return
+    if is_crossing_worth(active, message.expected_s, message.usual_s, now):
+        ask_spare(state, service, active, now, out)
 
 
 def take_refusal(
@@ -178,7 +226,12 @@
     if active is None or not _is_awaited(active, sender, message.ask):
         return
     active.refused_by.add(sender)
+    ask = active.asks.pop(message.ask)
     service = state.services.get(active.call.service)
+    if ask.is_spare:
+        if service is not None:
+            ask_spare(state, service, active, now, out)
+        return
     if service is not None and ask_slot(state, service, active, now, out):
         return
     problem = Problem(
@@ -209,13 +262,15 @@
         "after_s": round(now - active.asked_at, 3),
     }
     out.append(LogDecision(event="slot-unanswered", fields=fields))
-    withdraw(state, active.asked, call_id, active.ask, out)
+    drop_asks(active, out)
     _look_elsewhere(state, active, now, out)
 
 
-def _is_awaited(active: ActiveCall, sender: str, ask: int) -> bool:
-    is_asking = active.stage is Stage.ASKING
-    return is_asking and active.asked == sender and active.ask == ask
+def _is_awaited(active: ActiveCall, sender: str, number: int) -> bool:
+    if active.stage not in (Stage.ASKING, Stage.QUEUED):
+        return False
+    ask = active.asks.get(number)
+    return ask is not None and ask.home == sender
 
 
 def _look_elsewhere(
@@ -256,6 +311,7 @@
         holders_id=request.call,
         avoided=frozenset(request.tried),
         is_repeat=request.is_repeat,
+        slow_from=now + PATIENCE_S if request.may_cross else 0.0,
     )
 
 
--- a/src/siskinpier/core/timers.py
+++ b/src/siskinpier/core/timers.py
@@ -77,6 +77,13 @@
     call_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PatienceDue:
+    """The time from which waiting calls settle for slow servers."""
+
+    service: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RelayDue:
     """Time to tell that the watches work, or to notice that no relay does."""
@@ -100,6 +107,7 @@
     | SpareDue
     | HedgeDue
     | SlotDue
+    | PatienceDue
     | RelayDue
     | LapseDue
 )
--- a/src/siskinpier/edge/callers.py
+++ b/src/siskinpier/edge/callers.py
@@ -215,6 +215,7 @@
         )
         self._mark_reply(headers, exchange, verdict)
         last = b""
+        size = 0
         try:
             await send(
                 {
@@ -225,6 +226,7 @@
             )
             async for chunk in reply.iterate():
                 copy.add(chunk)
+                size += len(chunk)
                 if reply.is_at_end():
                     last = chunk
                     break
@@ -252,6 +254,7 @@
                 call_id=exchange.call_id,
                 attempt=number,
                 kept=copy.get_kept(),
+                size=size,
             )
         )
         await send({"type": "http.response.body", "body": last})
--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -77,6 +77,7 @@
             ),
             replayable=isinstance(body, bytes),
             virtual_host=virtual_host,
+            size=len(whole),
         )
         exchange = Exchange(
             call_id=call.call_id,
@@ -157,7 +158,6 @@
         answer = choose_addresses(
             self._shell.state,
             virtual_host=query.get("name", [""])[0].lower(),
-            failure_domain=query.get("zone", [""])[0],
             now=self._shell.clock(),
         )
         if answer is None:
