Let callers keep addresses as long as they may; take a reply before its speed

Cause: lookups at Hanul ran 31 ms and took callers 90, as each second request began with a question for addresses, kept 2 s. An answer 500 of our own came from a call that was hedged by the very reply that ended it (KeyError in the callers' application).

--- a/src/siskinpier/core/address_choice.py
+++ b/src/siskinpier/core/address_choice.py
@@ -14,9 +14,6 @@
 from .rendezvous import rank_nodes
 from .state import HostState
 
-# How long callers may keep an answer, seconds.
-KEEP_S = 2.0
-
 
 def choose_addresses(
     state: HostState, *, virtual_host: str, now: float
@@ -38,7 +35,7 @@
     return AddressAnswer(
         service=virtual_host,
         addresses=tuple(_get_address(state, name) for name in chosen),
-        keep_s=min(KEEP_S, state.settings.address_ttl_s),
+        keep_s=state.settings.address_ttl_s,
         revision=state.intents.revision,
     )
 
--- a/src/siskinpier/core/replies.py
+++ b/src/siskinpier/core/replies.py
@@ -23,6 +23,19 @@
 
 def take_reply(state: HostState, event: ReplyStarted, out: list[Effect]) -> None:
     """Relay a reply, or try again where the verdict allows it."""
+    active = get_current(state, event.call_id, event.attempt)
+    attempt = active.attempt if active is not None else None
+    _take_reply(state, event, out)
+    if active is None or attempt is None or event.report is None:
+        return
+    # After the reply is dealt with, as its call needs no second attempt any more.
+    service = state.services.get(active.call.service)
+    server = service.servers.get(attempt.target) if service is not None else None
+    if service is not None and server is not None:
+        take_speed(state, service, server, event.report, event.now, out)
+
+
+def _take_reply(state: HostState, event: ReplyStarted, out: list[Effect]) -> None:
     active = get_current(state, event.call_id, event.attempt)
     if active is None:
         return
@@ -38,8 +51,6 @@
         )
         server.reported_load = event.load
         attempt.load = event.report
-        if event.report is not None:
-            take_speed(state, service, server, event.report, event.now, out)
     verdict = get_reply_verdict(
         event.status, service.intent.not_run_statuses, event.verdict
     )
