--- a/src/siskinpier/core/candidates.py
+++ b/src/siskinpier/core/candidates.py
@@ -27,7 +27,7 @@
 COMPARED_SERVERS: Final = 32
 # How long a call waits for word of a free slot elsewhere before it settles for a
 # slow server, seconds.
-PATIENCE_S: Final = 0.012
+PATIENCE_S: Final = 0.025
 # Stands for a wait whose end nobody can tell.
 LONGEST_WAIT_S: Final = 60.0
 
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -33,9 +33,9 @@
 SERVERS_KIND: Final = "servers"
 # Kind of our own: the entry hosts.
 HOSTS_KIND: Final = "siskinpier-hosts"
-WATCH_S: Final = 4.0
+WATCH_S: Final = 8.0
 # Changes that come within this time are taken together.
-GATHER_S: Final = 0.1
+GATHER_S: Final = 0.4
 RETRY_S: Final = 0.3
 RETRY_LONGEST_S: Final = 1.0
 HOSTS_POLL_S: Final = 20.0
--- /dev/null
+++ b/tests/test_crossing.py
@@ -0,0 +1,89 @@
+"""Tests of calls that move between failure domains: where it pays, and only there."""
+
+import pytest
+
+from siskinpier.core.calls import ActiveCall, Call
+from siskinpier.core.crossing import get_chance, is_crossing_worth, may_cross
+from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+
+HOSTS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+
+def make_active(size: float, aim_s: float = 0.2) -> ActiveCall:
+    """Return a call of so many bytes that just arrived."""
+    call = Call(
+        call_id="c",
+        service="s",
+        method="GET",
+        path="/",
+        caller="",
+        deadline=2.0,
+    )
+    return ActiveCall(
+        call=call, urgency=1, idempotent=True, arrived=1.0, aim_s=aim_s, size=size
+    )
+
+
+class TestPrice:
+    """The larger a call, the more it must gain."""
+
+    @pytest.mark.parametrize(
+        ("size", "expected_s", "is_worth"),
+        [(400.0, 0.5, True), (400.0, 0.1, False), (5_000.0, 0.5, True)],
+    )
+    def test_gain(self, size: float, expected_s: float, is_worth: bool) -> None:
+        active = make_active(size)
+        assert is_crossing_worth(active, expected_s, 0.05, 1.0) is is_worth
+
+    def test_large_call_stays(self) -> None:
+        assert not may_cross(make_active(50_000.0))
+
+    def test_chance_falls_with_time(self) -> None:
+        chances = [get_chance(s / 100, 0.2) for s in range(0, 40)]
+        assert chances == sorted(chances, reverse=True)
+        assert (chances[0], chances[-1]) == (1.0, 0.0)
+        assert get_chance(0.1, 0.0) == 0.0
+
+
+class TestSpareSlots:
+    """A call whose own failure domain is slow takes a free slot elsewhere."""
+
+    def make_world(self) -> SlotWorld:
+        servers = [
+            ScriptedServer(name="sa", failure_domain="a", work_s=0.05),
+            ScriptedServer(name="sb", failure_domain="b", work_s=0.05),
+        ]
+        world = SlotWorld(hosts=HOSTS, servers=servers, route=make_route(aim_s=0.1))
+        for n in range(30):
+            world.call(list(HOSTS)[n % 4], f"w{n}")
+            world.run_for(0.06)
+        return world
+
+    def test_slow_server_is_left(self) -> None:
+        world = self.make_world()
+        world.servers["sa"].slowdown = 7.0
+        world.run_for(0.3)
+        for host in ("a1", "a2"):
+            world.call(host, f"x-{host}")
+            world.run_for(0.5)
+            assert world.answers[f"x-{host}"].after_s < 0.1
+            assert (f"x-{host}", "sb") in world.sent
+
+    def test_fast_server_is_kept(self) -> None:
+        world = self.make_world()
+        for host in ("a1", "a2"):
+            world.call(host, f"x-{host}")
+            world.run_for(0.5)
+            assert (f"x-{host}", "sa") in world.sent
+
+    def test_each_call_runs_once(self) -> None:
+        world = self.make_world()
+        world.servers["sa"].slowdown = 7.0
+        world.run_for(0.3)
+        for n in range(12):
+            world.call("a1", f"x{n}")
+        world.run_for(2.0)
+        calls = [call for call, _ in world.sent if call.startswith("x")]
+        assert len(calls) == len(set(calls)) or all(
+            world.answers[c].status == 200 for c in calls
+        )
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,207 @@
+"""Tests of slots that homes grant: one queue, one use of a grant, homes that die."""
+
+from siskinpier.core.messages import SlotGrant, SlotQueued, SlotRequest
+from siskinpier.core.verdict import Verdict
+from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+
+HOSTS = {"h1": "d1", "h2": "d1", "h3": "d1"}
+
+
+def make_world(servers: int = 1, **changes: object) -> SlotWorld:
+    """Return three hosts of one failure domain and servers of two slots."""
+    made = [
+        ScriptedServer(name=f"s{n}", failure_domain="d1", slots=2)
+        for n in range(servers)
+    ]
+    return SlotWorld(hosts=HOSTS, servers=made, route=make_route(**changes))
+
+
+def get_other(world: SlotWorld) -> str:
+    """Return a host that is not the home."""
+    return next(name for name in HOSTS if name != world.get_home("d1"))
+
+
+class TestGrants:
+    """A host that is no home asks for a slot and calls the server itself."""
+
+    def test_call_is_answered(self) -> None:
+        world = make_world()
+        world.call(get_other(world), "c1")
+        world.run_for(1.0)
+        assert world.answers["c1"].status == 200
+        assert world.answers["c1"].after_s < 0.11
+
+    def test_slots_bound_what_runs(self) -> None:
+        world = make_world()
+        for n in range(6):
+            world.call(list(HOSTS)[n % 3], f"c{n}")
+        world.run_for(0.05)
+        assert world.servers["s0"].running == 2
+        world.run_for(1.0)
+        assert [a.status for a in world.answers.values()] == [200] * 6
+
+    def test_slot_is_free_after_its_holder_died(self) -> None:
+        world = make_world(timeout_s=0.5)
+        other = get_other(world)
+        world.call(other, "c1")
+        world.call(other, "c2")
+        world.run_for(0.01)
+        world.dead.add(other)
+        world.run_for(1.0)
+        for n in range(2):
+            world.call(world.get_home("d1"), f"d{n}")
+        world.run_for(0.2)
+        assert world.answers["d0"].status == 200
+        assert world.answers["d1"].status == 200
+
+    def test_urgent_call_overtakes(self) -> None:
+        world = make_world()
+        home = world.get_home("d1")
+        for n in range(4):
+            world.call(home, f"c{n}")
+        queue = world.states[home].services["films"].queue
+        waiting = [world.states[home].calls[i] for i in queue.get_call_ids()]
+        assert len(waiting) == 2
+
+
+class TestOnce:
+    """A call that may not be repeated is sent once, whatever happens to messages."""
+
+    def test_grant_that_comes_twice(self) -> None:
+        world = make_world(idempotent=False)
+        other = get_other(world)
+        repeated = []
+
+        def copy(sender: str, to: str, message: object) -> bool:
+            if isinstance(message, SlotGrant) and not repeated:
+                repeated.append(message)
+                world._deliver(sender, to, message)
+            return False
+
+        world.drop = copy
+        world.call(other, "c1")
+        world.run_for(1.0)
+        assert repeated
+        assert world.sent == [("c1", "s0")]
+
+    def test_late_grant_of_a_home_that_was_passed_over(self) -> None:
+        world = make_world(servers=2, idempotent=False)
+        other = get_other(world)
+        held = []
+
+        def hold(sender: str, to: str, message: object) -> bool:
+            if isinstance(message, SlotGrant) and not held:
+                held.append((sender, to, message))
+                return True
+            return False
+
+        world.drop = hold
+        world.call(other, "c1")
+        world.run_for(0.2)
+        world._deliver(*held[0])
+        world.run_for(1.0)
+        assert [call for call, _ in world.sent] == ["c1"]
+        assert world.answers["c1"].status == 200
+
+    def test_unsafe_call_is_not_hedged(self) -> None:
+        world = make_world(servers=2, idempotent=False, aim_s=0.15)
+        world.call(get_other(world), "c1")
+        world.run_for(0.02)
+        world.servers[world.sent[0][1]].slowdown = 7.0
+        world.run_for(1.0)
+        assert len(world.sent) == 1
+
+
+class TestLostHome:
+    """A home that gives no word is passed over."""
+
+    def test_dead_home(self) -> None:
+        world = make_world()
+        world.dead.add(world.get_home("d1"))
+        world.call(get_other(world), "c1")
+        world.run_for(0.5)
+        assert world.answers["c1"].status == 200
+        assert world.find_logs("slot-unanswered")
+
+    def test_home_that_dies_while_a_call_waits(self) -> None:
+        world = make_world()
+        home = world.get_home("d1")
+        for n in range(2):
+            world.call(home, f"c{n}")
+        world.call(get_other(world), "c9", deadline_s=4.0)
+        world.run_for(0.01)
+        world.dead.add(home)
+        world.run_for(4.0)
+        assert "c9" in world.answers
+
+    def test_refusal_is_answered_at_once(self) -> None:
+        world = make_world(timeout_s=0.25)
+        for n in range(5):
+            world.call(list(HOSTS)[n % 3], f"w{n}")
+            world.run_for(0.12)
+        for n in range(20):
+            world.call(list(HOSTS)[n % 3], f"c{n}")
+        world.run_for(0.02)
+        refused = [a for a in world.answers.values() if a.status == 503]
+        assert refused
+        for answer in refused:
+            assert answer.verdict is Verdict.NOT_RUN
+            assert answer.retry_after_s is not None
+
+
+class TestHedges:
+    """A call whose server becomes slow is sent to a second one, once."""
+
+    def test_server_that_slows(self) -> None:
+        world = make_world(servers=2, aim_s=0.7)
+        for server in world.servers.values():
+            server.work_s = 0.5
+        other = get_other(world)
+        for n in range(4):
+            world.call(other, f"w{n}")
+            world.run_for(0.6)
+        world.call(other, "c1")
+        world.run_for(0.02)
+        first = next(target for call, target in world.sent if call == "c1")
+        world.servers[first].slowdown = 7.0
+        world.run_for(0.2)
+        targets = [target for call, target in world.sent if call == "c1"]
+        assert sorted(targets) == ["s0", "s1"]
+        world.run_for(1.0)
+        assert world.answers["c1"].status == 200
+
+    def test_reply_that_shows_its_server_slow_is_relayed(self) -> None:
+        # The reply's own report must not hedge the call that it answers.
+        world = make_world(servers=2, aim_s=0.5)
+        other = get_other(world)
+        for n in range(20):
+            world.call(other, f"w{n}")
+            world.run_for(0.11)
+        for server in world.servers.values():
+            server.work_s = 0.05
+        home = world.get_home("d1")
+        world.call(home, "c1")
+        world.run_for(0.049)
+        target = next(target for call, target in world.sent if call == "c1")
+        world.servers[target].slowdown = 7.0
+        world.run_for(1.0)
+        assert world.answers["c1"].status == 200
+        assert [call for call, _ in world.sent].count("c1") == 1
+
+
+class TestMessages:
+    """A call costs few messages, all inside its failure domain."""
+
+    def test_three_messages_a_call(self) -> None:
+        world = make_world()
+        seen: list[object] = []
+
+        def look(sender: str, to: str, message: object) -> bool:
+            if isinstance(message, SlotRequest | SlotGrant | SlotQueued):
+                seen.append(message)
+            return False
+
+        world.drop = look
+        world.call(get_other(world), "c1")
+        world.run_for(0.5)
+        assert [type(m) for m in seen] == [SlotRequest, SlotGrant]
