Survive SIGHUP, notice a store that falls silent, keep to a route's attempts

Ruled out: shorter watches (each is a whole call), relays that check one another (bytes between failure domains).

--- a/src/siskinpier/core/hedging.py
+++ b/src/siskinpier/core/hedging.py
@@ -41,7 +41,7 @@
 def send_hedge(state: HostState, call_id: str, now: float, out: list[Effect]) -> None:
     """Send a slow call to one more server, if one is idle and the budget allows."""
     active = state.calls.get(call_id)
-    if active is None or active.stage is not Stage.SENT or active.rival is not None:
+    if active is None or not _may_hedge(active):
         return
     service = state.services.get(active.call.service)
     if service is None or active.attempt is None or active.attempt.is_forward:
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -154,10 +154,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RelayWord:
-    """A relay's watches of the platform work, up to these revisions."""
+    """A relay's watches of the platform work, up to these revisions.
+
+    A relay that lost the platform says so, for the next host to take over at once.
+    """
 
     host: str
     rank: int
+    is_lost: bool
     intents_revision: int
     servers_revision: int
 
--- a/src/siskinpier/core/relays.py
+++ b/src/siskinpier/core/relays.py
@@ -24,6 +24,7 @@
 # much longer each further host waits.
 SUBSTITUTE_AFTER_S: Final = 0.8
 SUBSTITUTE_STEP_S: Final = 0.25
+LEAST_S: Final = 0.001
 
 
 def step_relay(state: HostState, now: float, out: list[Effect]) -> None:
@@ -43,13 +44,7 @@
         }
         out.append(LogDecision(event="watch", fields=fields))
     if state.watching and is_confirmed(state):
-        word = RelayWord(
-            host=state.identity.name,
-            rank=rank,
-            intents_revision=state.intents.revision,
-            servers_revision=state.registry.revision,
-        )
-        tell_domain(state, word, out)
+        tell_domain(state, _make_word(state, rank), out)
     out.append(SetTimer(timer=RelayDue(), at=now + WORD_INTERVAL_S))
 
 
@@ -60,7 +55,16 @@
 
 def take_word(state: HostState, word: RelayWord, now: float, out: list[Effect]) -> None:
     """Take in a relay's word; fetch what it knows and this host lacks."""
-    if not state.watching or word.rank < _get_rank(state, now):
+    rank = _get_rank(state, now)
+    if word.is_lost:
+        # As if the relay had been silent for as long as the next host waits.
+        if rank > word.rank:
+            silence_s = SUBSTITUTE_AFTER_S + SUBSTITUTE_STEP_S * word.rank
+            heard_at = now - silence_s - LEAST_S
+            state.relay.heard_at = min(state.relay.heard_at, heard_at)
+            step_relay(state, now, out)
+        return
+    if not state.watching or word.rank < rank:
         state.relay.heard_at = now
     if word.servers_revision > state.registry.revision:
         request_servers(state, word.host, out)
@@ -79,6 +83,9 @@
     state.platform_fault = f"unavailable: {event.reason}"
     fields: dict[str, object] = {"reason": event.reason}
     out.append(LogDecision(event="platform-lost", fields=fields))
+    if state.watching:
+        rank = _get_rank(state, event.now)
+        tell_domain(state, _make_word(state, rank, is_lost=True), out)
 
 
 def take_reached(state: HostState, event: PlatformReached, out: list[Effect]) -> None:
@@ -102,6 +109,16 @@
     tell_domain(state, notice, out)
 
 
+def _make_word(state: HostState, rank: int, *, is_lost: bool = False) -> RelayWord:
+    return RelayWord(
+        host=state.identity.name,
+        rank=rank,
+        is_lost=is_lost,
+        intents_revision=state.intents.revision,
+        servers_revision=state.registry.revision,
+    )
+
+
 def _get_rank(state: HostState, now: float) -> int:
     own = state.identity
     hosts = get_live_hosts(state, now)
--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -4,6 +4,7 @@
 The client's own retries are off: only the core may try a call again.
 """
 
+import asyncio
 import ssl
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 
 import aiohttp
 import anyio.lowlevel
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
@@ -73,6 +75,21 @@
             protocol.close()
 
 
+class StrictHandler(ResponseHandler):
+    """A connection whose break is never taken for the end of a reply.
+
+    A reply without a length ends with its connection; the client would take a reset
+    for that end.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the reply in progress by an error if the connection broke."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection broke"))
+        super().connection_lost(exc)
+
+
 class StrictConnector(aiohttp.TCPConnector):
     """A pool that never reuses a connection on which unasked bytes arrived.
 
@@ -119,6 +136,8 @@
             socket_factory=make_stream_socket,
             enable_cleanup_closed=False,
         )
+        loop = asyncio.get_running_loop()
+        connector._factory = partial(StrictHandler, loop=loop)  # type: ignore[assignment]
         self._session = aiohttp.ClientSession(
             connector=connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_BOUND_S),
--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -95,7 +95,7 @@
     settings = shell.settings
     shell.start(tasks)
     calm_collector()
-    tasks.start_soon(watch_signals, shell)
+    tasks.start_soon(watch_signals, shell, _note_reload)
     tasks.start_soon(shell.mesh.serve, sockets.peers, tasks)
     caller_server = make_caller_server(shell, CallerApp(shell=shell), certificate)
     async with anyio.create_task_group() as servers:
@@ -115,6 +115,11 @@
     log_event("end", host=settings.name)
 
 
+def _note_reload() -> None:
+    """Say that nothing is read anew: settings hold for the life of a process."""
+    log_event("reload", changed="")
+
+
 async def _abort(shell: Shell, servers: TaskGroup) -> None:
     await shell.aborted.wait()
     await anyio.sleep(LAST_ANSWERS_S)
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -3,7 +3,7 @@
 import gc
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from functools import partial
 from typing import Any, Final
@@ -40,11 +40,16 @@
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
 
 
-async def watch_signals(shell: Shell) -> None:
-    """Turn SIGTERM and SIGINT into a request to leave, until cancelled."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            shell.handle(ShutdownRequested(now=shell.clock()))
+async def watch_signals(shell: Shell, reload: Callable[[], None]) -> None:
+    """Turn SIGTERM and SIGINT into a request to leave, and SIGHUP into `reload`."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                reload()
+            else:
+                shell.handle(ShutdownRequested(now=shell.clock()))
 
 
 def make_caller_server(
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -37,6 +37,7 @@
 from .callers import FrontApp, SideApp
 from .fields import REQUEST_ID, PlatformDialect
 from .relay import Relay
+from .reload import SettingsWatcher
 from .settings import (
     PATH_VARIABLE,
     AdapterSettings,
@@ -81,14 +82,16 @@
         print(f"siskinpier: cannot start: {path}: {exc}", file=sys.stderr)
         return ExitCode.BAD_INPUT
     anyio.run(
-        partial(_run, settings, sockets),
+        partial(_run, path, settings, sockets),
         backend="asyncio",
         backend_options={"use_uvloop": False},
     )
     return ExitCode.OK
 
 
-async def _run(settings: AdapterSettings, sockets: list[socket.socket]) -> None:
+async def _run(
+    path: str, settings: AdapterSettings, sockets: list[socket.socket]
+) -> None:
     backends = BackendClient(id_field=REQUEST_ID, keep_alive_s=KEEP_ALIVE_S)
     await backends.open()
     store = Store(address=settings.store)
@@ -102,10 +105,11 @@
         backends=backends,
         metrics=HostMetrics(),
     )
+    watcher = SettingsWatcher(path=path, settings=settings)
     relay = Relay(shell=shell, store=store, settings=settings)
     try:
         async with anyio.create_task_group() as tasks:
-            await _serve(shell, relay, sockets, tasks)
+            await _serve(shell, relay, watcher, sockets, tasks)
             tasks.cancel_scope.cancel()
     finally:
         with anyio.CancelScope(shield=True):
@@ -114,11 +118,16 @@
 
 
 async def _serve(
-    shell: Shell, relay: Relay, sockets: list[socket.socket], tasks: TaskGroup
+    shell: Shell,
+    relay: Relay,
+    watcher: SettingsWatcher,
+    sockets: list[socket.socket],
+    tasks: TaskGroup,
 ) -> None:
     callers, readiness, addresses, peers = sockets
     shell.start(tasks)
-    tasks.start_soon(watch_signals, shell)
+    tasks.start_soon(watch_signals, shell, watcher.check)
+    tasks.start_soon(watcher.run)
     tasks.start_soon(shell.mesh.serve, peers, tasks)
     front = make_caller_server(shell, FrontApp(shell=shell))
     side = make_caller_server(shell, SideApp(shell=shell))
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -36,6 +36,10 @@
 WATCH_S: Final = 8.0
 # Changes that come within this time are taken together.
 GATHER_S: Final = 0.4
+# How often a host that watches asks whether the store still answers it, and for how
+# long it waits.
+CHECK_INTERVAL_S: Final = 0.5
+CHECK_TIMEOUT_S: Final = 0.45
 RETRY_S: Final = 0.3
 RETRY_LONGEST_S: Final = 1.0
 HOSTS_POLL_S: Final = 20.0
@@ -63,6 +67,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._repeat, self._follow_configuration)
                 tasks.start_soon(self._repeat, self._follow_servers)
+                tasks.start_soon(self._check_silence)
                 await shell.watch_changed.wait()
                 tasks.cancel_scope.cancel()
 
@@ -166,6 +171,23 @@
                 take(result)
                 await anyio.sleep(GATHER_S)
 
+    async def _check_silence(self) -> None:
+        """Notice a store that leaves this host without answers.
+
+        A watch that waits cannot tell silence from peace.
+        """
+        shell = self._shell
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S * random.uniform(0.8, 1.2))
+            if shell.state.relay.lost_at is not None:
+                continue  # The watches are beginning anew.
+            fault = await self._store.check(
+                HOSTS_KIND, self._settings.name, timeout_s=CHECK_TIMEOUT_S
+            )
+            if fault is not None:
+                shell.handle(PlatformLost(now=shell.clock(), reason=fault.reason))
+                shell.watch_changed.set()
+
     def _confirm(self) -> None:
         shell = self._shell
         shell.handle(PlatformReached(now=shell.clock()))
--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -140,6 +140,21 @@
             return HistoryLost()
         return _parse_changes(answer)
 
+    async def check(
+        self, kind: str, name: str, *, timeout_s: float
+    ) -> Unavailable | None:
+        """Return None if the store answers at all; costs a part of a read."""
+        answer = await self._call(
+            "check",
+            "GET",
+            self._path(kind, name),
+            params={"staleOk": "1"},
+            timeout_s=timeout_s,
+        )
+        if isinstance(answer, Unavailable | Unknown):
+            return Unavailable(reason=answer.reason)
+        return None
+
     async def read_object(self, *, kind: str, name: str) -> ReadResult:
         """Read one object."""
         answer = await self._call("read", "GET", self._path(kind, name))
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -209,9 +209,7 @@
             self.handle(name, HostStarted(now=self.now))
             self.handle(name, HostsListed(now=self.now, hosts=listed))
             self.handle(name, PlatformReached(now=self.now))
-            self.handle(
-                name, IntentsSeen(now=self.now, version="1", intents=intents)
-            )
+            self.handle(name, IntentsSeen(now=self.now, version="1", intents=intents))
             self.list_servers(name, self.register(), 1)
         self.run_for(3.0)
 
