Test hosts on the platform as processes against a stand-in of its store

Routes, verdicts in answers, registry with draining and unreadable entries, a forgotten history, a silent store, SIGHUP, SIGTERM, broken settings. Ports come from the system; bounds of time only end a test that hangs.

--- /dev/null
+++ b/tests/standins/metadata_store.py
@@ -0,0 +1,144 @@
+"""Stand-in of the users' metadata store: objects by kind, revisions, waiting watches.
+
+It runs in a thread of the test. `mode` makes it misbehave: "silent" leaves calls
+without an answer, "busy" answers 503, "lost" carries writes out and answers nothing.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from tests.standins.process import Receive, Scope, Send
+
+PREFIX = "/api/objects/"
+POLL_S = 0.01
+LONG_S = 60.0
+
+
+class MetadataStore:
+    """An ASGI app; the test changes objects through `put` and `delete`."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.revision = 10
+        self.forgotten = 0
+        self.mode = ""
+        self.refuses: Callable[[str], bool] = lambda peer: False
+        self.calls: list[tuple[str, str, dict[str, str]]] = []
+
+    def put(self, kind: str, name: str, spec: Any, status: Any = None) -> None:
+        """Create or replace an object."""
+        self.revision += 1
+        metadata = {
+            "name": name,
+            "revision": self.revision,
+            "created": 1,
+            "finalizers": [],
+            "deleting": False,
+        }
+        item = {"metadata": metadata, "spec": spec, "status": status}
+        self.objects[kind, name] = item
+        self.events.append((self.revision, kind, item, False))
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        item = self.objects.pop((kind, name))
+        self.events.append((self.revision, kind, item, True))
+
+    def forget(self) -> None:
+        """Drop the history, so that watches from before get 410."""
+        self.forgotten = self.revision
+        self.events.clear()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+        if scope["type"] != "http":
+            return
+        query = parse_qs(scope["query_string"].decode())
+        params = {key: values[0] for key, values in query.items()}
+        body = await _read(receive)
+        kind, _, name = scope["path"].removeprefix(PREFIX).partition("/")
+        self.calls.append((scope["method"], scope["path"], params))
+        if self.mode == "silent":
+            await asyncio.sleep(LONG_S)
+        if self.mode == "busy":
+            await _reply(send, 503, {"error": "busy"})
+            return
+        if scope["method"] == "GET":
+            await self._read_call(kind, name, params, send)
+            return
+        await self._write_call(scope["method"], kind, name, json.loads(body), send)
+
+    async def _read_call(
+        self, kind: str, name: str, params: dict[str, str], send: Send
+    ) -> None:
+        if name:
+            item = self.objects.get((kind, name))
+            await _reply(send, 404 if item is None else 200, item)
+        elif "watch" in params:
+            await self._watch(kind, params, send)
+        else:
+            rows = [item for (k, _), item in sorted(self.objects.items()) if k == kind]
+            document = {
+                "items": rows,
+                "hasMore": False,
+                "storeRevision": self.revision,
+            }
+            await _reply(send, 200, document)
+
+    async def _watch(self, kind: str, params: dict[str, str], send: Send) -> None:
+        since = int(params["watch"])
+        waited_s = 0.0
+        while True:
+            if since < self.forgotten:
+                await _reply(send, 410, {"error": "history is gone"})
+                return
+            rows = [e for e in self.events if e[0] > since and e[1] == kind]
+            if rows or waited_s >= int(params["waitMs"]) / 1000:
+                break
+            await asyncio.sleep(POLL_S)
+            waited_s += POLL_S
+        if self.mode == "silent":
+            await asyncio.sleep(LONG_S)
+        events = [{"object": e[2], "deleted": e[3]} for e in rows]
+        await _reply(send, 200, {"events": events, "storeRevision": self.revision})
+
+    async def _write_call(
+        self, method: str, kind: str, name: str, document: Any, send: Send
+    ) -> None:
+        name = name or document["metadata"]["name"]
+        held = self.objects.get((kind, name))
+        wanted = document["metadata"].get("revision")
+        if method == "POST" and held is not None:
+            await _reply(send, 409, held)
+            return
+        if method == "PUT" and held is None:
+            await _reply(send, 404, None)
+            return
+        if held is not None and wanted not in (None, held["metadata"]["revision"]):
+            await _reply(send, 409, held)
+            return
+        self.put(kind, name, document["spec"])
+        if self.mode == "lost":
+            await asyncio.sleep(LONG_S)
+        await _reply(send, 200, self.objects[kind, name])
+
+
+async def _read(receive: Receive) -> bytes:
+    body = b""
+    while True:
+        message = await receive()
+        body += message.get("body", b"")
+        if not message.get("more_body", False):
+            return body
+
+
+async def _reply(send: Send, status: int, document: Any) -> None:
+    content = json.dumps(document).encode()
+    headers = [(b"content-length", str(len(content)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": content})
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,397 @@
+"""Hosts on the users' platform as processes: the whole path over real sockets."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpx
+import pytest
+
+from tests.standins.app_thread import AppThread
+from tests.standins.metadata_store import MetadataStore
+from tests.standins.process import ROOT, Receive, Scope, Send
+
+WITHIN_S = 10.0
+CONFIG = {
+    "version": "00000007",
+    "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "idleTimeoutS": 15},
+    "listeners": [
+        {
+            "host": "films.example",
+            "rules": [
+                {
+                    "name": "search",
+                    "kind": "safe",
+                    "targetLatencyS": 0.5,
+                    "priority": 1,
+                    "match": {"pathPrefix": "/search/"},
+                    "action": {"service": "films", "timeoutS": 1.0, "attempts": 2},
+                },
+                {
+                    "name": "pay",
+                    "kind": "unsafe",
+                    "match": {"pathPrefix": "/pay/"},
+                    "action": {"service": "films", "timeoutS": 1.0, "attempts": 2},
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {"name": "films", "healthPath": "/health", "maxConnections": 50},
+    ],
+}
+
+
+def wait_until(condition: Callable[[], bool], within_s: float = WITHIN_S) -> None:
+    """Wait for a condition; the bound only ends a test that hangs."""
+    deadline = time.monotonic() + within_s
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError("the condition did not come true")
+
+
+@dataclass(slots=True, kw_only=True)
+class Backend:
+    """A backend server that answers as the test says."""
+
+    name: str = "i-1"
+    behave: str = "answer"
+    runs: list[dict[str, str]] = field(default_factory=list)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        headers = {k.decode(): v.decode() for k, v in scope["headers"]}
+        while (await receive()).get("more_body", False):
+            pass
+        extra = [(b"x-server-load", b"1,0,4,100")]
+        if scope["path"] == "/health":
+            await self._reply(send, 200, extra, b"")
+            return
+        request_id = headers.get("x-request-id", "").encode()
+        extra.append((b"x-request-id", request_id))
+        if headers.get("x-expected-instance") != self.name:
+            await self._reply(send, 421, extra, b"")
+            return
+        if self.behave == "shed":
+            await self._reply(send, 503, [*extra, (b"x-not-executed", b"1")], b"")
+            return
+        self.runs.append(headers)
+        if self.behave == "fail":
+            await self._reply(send, 503, extra, b"failed")
+            return
+        if self.behave == "slow":
+            await asyncio.sleep(0.6)
+        signature = (b"x-response-signature", b"sig")
+        await self._reply(send, 200, [*extra, signature], b"found it")
+
+    async def _reply(
+        self, send: Send, status: int, extra: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        headers = [*extra, (b"content-length", str(len(body)).encode())]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+def make_entry(address: str, state: str = "ready") -> dict[str, Any]:
+    """Return a backend server's entry."""
+    return {
+        "address": address,
+        "info": {"service": "films", "version": "v1", "zone": "z1", "slots": 4},
+        "status": {"state": state, "sequence": 1, "warmupLeftS": 0},
+        "born": 1,
+    }
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports of the loopback address, from the system."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class PlatformHost:
+    """One host process with settings as the platform writes them."""
+
+    def __init__(self, *, folder: Path, store: str, name: str = "front-1") -> None:
+        self.front, self.ready, self.control, self.directory = find_ports(4)
+        self.path = folder / f"{name}.conf"
+        self.settings = [
+            f"nodeName={name}",
+            "ipAddress=127.0.0.1",
+            "zone=z1",
+            "region=r1",
+            f"listenAddresses.front=127.0.0.1:{self.front}",
+            f"listenAddresses.ready=127.0.0.1:{self.ready}",
+            f"listenAddresses.control=127.0.0.1:{self.control}",
+            f"listenAddresses.directory=127.0.0.1:{self.directory}",
+            "internalPortRange=7620,7635",
+            "seeds=",
+            "bounds.gracePeriodS=6",
+            "bounds.ttl_max_s=5",
+            "bounds.retryBudgetSlack=62",
+            "platform.form=objects",
+            f"platform.address={store}",
+            "somethingNew.deep=1",
+        ]
+        self.path.write_text("\n".join(self.settings))
+        self.log = (folder / f"{name}.log").open("w+b")
+        self.child = subprocess.Popen(
+            [sys.executable, "-m", "siskinpier.platform"],
+            env={
+                **os.environ,
+                "PYTHONPATH": str(ROOT / "src"),
+                "SISKINPIER_BOOT": str(self.path),
+            },
+            stdout=self.log,
+            stderr=self.log,
+        )
+
+    def is_ready(self) -> bool:
+        """Return True once the host says that it is ready."""
+        url = f"http://127.0.0.1:{self.ready}/api/readiness"
+        try:
+            return httpx.get(url, trust_env=False).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def ask(self, path: str, method: str = "GET", **headers: str) -> httpx.Response:
+        """Send a request to the host as a caller does."""
+        fields = {
+            "Host": "films.example",
+            "X-Request-Id": "r1",
+            "X-Deadline-Ms": "2000",
+            **{key.replace("_", "-"): value for key, value in headers.items()},
+        }
+        url = f"http://127.0.0.1:{self.front}{path}"
+        return httpx.request(method, url, headers=fields, trust_env=False, timeout=9)
+
+    def read_log(self) -> str:
+        """Return what the host wrote."""
+        self.log.flush()
+        return Path(self.log.name).read_text(errors="replace")
+
+    def stop(self) -> None:
+        """End the process."""
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait(WITHIN_S)
+        self.log.close()
+
+
+@dataclass(slots=True, kw_only=True)
+class Deployment:
+    """A store, two backend servers and a host."""
+
+    store: MetadataStore
+    backends: dict[str, Backend]
+    host: PlatformHost
+
+    def behave(self, how: str) -> None:
+        """Let all backend servers behave in one way."""
+        for backend in self.backends.values():
+            backend.behave = how
+
+    def count_runs(self) -> int:
+        """Return the runs of all backend servers."""
+        return sum(len(backend.runs) for backend in self.backends.values())
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[Deployment]:
+    """Return a deployment whose host is ready."""
+    store = MetadataStore()
+    backends = {name: Backend(name=name) for name in ("i-1", "i-2")}
+    with (
+        AppThread(store) as served,
+        AppThread(backends["i-1"]) as first,
+        AppThread(backends["i-2"]) as second,
+    ):
+        store.put("config", "main", CONFIG)
+        store.put("servers", "i-1", make_entry(first.address))
+        store.put("servers", "i-2", make_entry(second.address))
+        store.put("servers", "broken", {"address": 7, "info": []})
+        host = PlatformHost(folder=tmp_path, store=served.address)
+        try:
+            wait_until(host.is_ready)
+            yield Deployment(store=store, backends=backends, host=host)
+        finally:
+            host.stop()
+
+
+class TestCalls:
+    """What callers get, and what backend servers are told."""
+
+    def test_answer_is_passed_on_whole(self, deployment: Deployment) -> None:
+        reply = deployment.host.ask("/search/a%2Fb?q=1")
+        assert (reply.status_code, reply.content) == (200, b"found it")
+        assert reply.headers["x-response-signature"] == "sig"
+        seen = [run for b in deployment.backends.values() for run in b.runs]
+        assert seen[0]["x-request-id"] == "r1"
+        assert 0 < int(seen[0]["x-deadline-ms"]) <= 1000
+
+    def test_unknown_route(self, deployment: Deployment) -> None:
+        assert deployment.host.ask("/other/").status_code == 404
+        assert deployment.host.ask("/search/", Host="else.example").status_code == 404
+
+    def test_shed_call_says_when_to_come_back(self, deployment: Deployment) -> None:
+        deployment.behave("shed")
+        reply = deployment.host.ask("/pay/1", method="POST")
+        assert reply.status_code == 503
+        assert 0.0 < float(reply.headers["retry-after"]) <= 1.0
+        assert deployment.count_runs() == 0
+
+    def test_failed_call_that_may_have_run(self, deployment: Deployment) -> None:
+        # The backend server's own 503 would promise that the call did not run.
+        deployment.behave("fail")
+        reply = deployment.host.ask("/pay/1", method="POST")
+        assert reply.status_code == 502
+        assert "x-response-signature" not in reply.headers
+        assert deployment.count_runs() == 1
+
+    def test_safe_call_is_tried_again_within_its_attempts(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.behave("fail")
+        deployment.host.ask("/search/1")
+        assert deployment.count_runs() == 2
+
+    def test_deadline(self, deployment: Deployment) -> None:
+        deployment.behave("slow")
+        began = time.monotonic()
+        reply = deployment.host.ask("/pay/1", method="POST", X_Deadline_Ms="200")
+        assert reply.status_code == 504
+        assert time.monotonic() - began < 0.6
+
+    def test_repeated_field_is_refused(self, deployment: Deployment) -> None:
+        with socket.create_connection(("127.0.0.1", deployment.host.front)) as sock:
+            sock.sendall(
+                b"GET /search/ HTTP/1.1\r\nHost: films.example\r\n"
+                b"X-Deadline-Ms: 1\r\nX-Deadline-Ms: 2\r\n\r\n"
+            )
+            assert sock.recv(100).startswith(b"HTTP/1.1 400")
+
+
+class TestRegistry:
+    """Backend servers that come, leave, and entries of others."""
+
+    def test_draining_server_gets_nothing(self, deployment: Deployment) -> None:
+        store = deployment.store
+        for name, item in (("i-1", store.objects["servers", "i-1"]),):
+            spec = {**item["spec"], "status": {"state": "draining", "sequence": 2}}
+            store.put("servers", name, spec)
+        wait_until(lambda: "state=draining" in deployment.host.read_log())
+        before = len(deployment.backends["i-1"].runs)
+        for _ in range(10):
+            assert deployment.host.ask("/search/").status_code == 200
+        assert len(deployment.backends["i-1"].runs) == before
+
+    def test_forgotten_history(self, deployment: Deployment) -> None:
+        store = deployment.store
+        store.forget()
+        store.delete("servers", "i-1")
+        store.forget()
+        wait_until(lambda: "state=gone" in deployment.host.read_log())
+        assert deployment.host.ask("/search/").status_code == 200
+
+    def test_entry_that_cannot_be_read(self, deployment: Deployment) -> None:
+        log = deployment.host.read_log()
+        assert log.count("event=entry-unreadable") == 1
+
+    def test_outage_costs_no_call(self, deployment: Deployment) -> None:
+        deployment.store.mode = "silent"
+        wait_until(lambda: "event=platform-lost" in deployment.host.read_log())
+        assert deployment.host.ask("/search/").status_code == 200
+        deployment.store.mode = ""
+        wait_until(lambda: "event=platform-regained" in deployment.host.read_log())
+
+    def test_new_configuration(self, deployment: Deployment) -> None:
+        config = json.loads(json.dumps(CONFIG))
+        config["version"] = "0000000a"
+        config["listeners"][0]["rules"][0]["match"]["pathPrefix"] = "/find/"
+        deployment.store.put("config", "main", config)
+        wait_until(lambda: deployment.host.ask("/find/").status_code == 200)
+        assert deployment.host.ask("/search/").status_code == 404
+        deployment.store.put("config", "main", CONFIG)
+        time.sleep(1.0)
+        assert deployment.host.ask("/find/").status_code == 200
+
+
+class TestProcess:
+    """Signals, addresses and settings."""
+
+    def test_addresses(self, deployment: Deployment) -> None:
+        host = deployment.host
+        url = f"http://127.0.0.1:{host.directory}/api/resolution"
+        query = {"name": "films.example", "region": "r1", "zone": "z1"}
+        answer = httpx.get(url, params=query, trust_env=False).json()
+        assert answer == {"addresses": [f"127.0.0.1:{host.front}"], "ttlS": 5.0}
+
+    def test_hangup_reads_settings_again(self, deployment: Deployment) -> None:
+        host = deployment.host
+        host.path.write_text(
+            "\n".join(host.settings).replace("ttl_max_s=5", "ttl_max_s=4")
+        )
+        host.child.send_signal(signal.SIGHUP)
+        wait_until(lambda: "event=reload changed=address_ttl_s" in host.read_log())
+        assert host.ask("/search/").status_code == 200
+
+    def test_term_finishes_what_runs(self, deployment: Deployment) -> None:
+        host = deployment.host
+        deployment.behave("slow")
+        replies: list[httpx.Response] = []
+        caller = threading.Thread(
+            target=lambda: replies.append(host.ask("/pay/1", method="POST"))
+        )
+        caller.start()
+        wait_until(lambda: deployment.count_runs() == 1)
+        host.child.send_signal(signal.SIGTERM)
+        wait_until(lambda: not host.is_ready())
+        caller.join(WITHIN_S)
+        assert [reply.status_code for reply in replies] == [200]
+        assert host.child.wait(WITHIN_S) == 0
+
+    @pytest.mark.parametrize(
+        ("line", "named"),
+        [
+            ("listenAddresses.front=nowhere", "listenAddresses.front"),
+            ("bounds.gracePeriodS=never", "bounds.gracePeriodS"),
+            ("nodeName=", "nodeName"),
+        ],
+    )
+    def test_broken_settings(self, tmp_path: Path, line: str, named: str) -> None:
+        host = PlatformHost(folder=tmp_path, store="127.0.0.1:1")
+        host.stop()
+        key = line.partition("=")[0]
+        rows = [row for row in host.settings if not row.startswith(key + "=")]
+        host.path.write_text("\n".join([*rows, line]))
+        done = subprocess.run(
+            [sys.executable, "-m", "siskinpier.platform"],
+            env={
+                **os.environ,
+                "PYTHONPATH": str(ROOT / "src"),
+                "SISKINPIER_BOOT": str(host.path),
+            },
+            capture_output=True,
+            timeout=WITHIN_S,
+            check=False,
+        )
+        assert done.returncode == 2
+        assert named in done.stderr.decode()
