Use silent servers last, and ask no silent home again and again

A home without a word is left alone for 0.5 s. A connection to a backend server is given up after 0.25 s instead of 0.5 s.

--- a/src/siskinpier/core/load_reports.py
+++ b/src/siskinpier/core/load_reports.py
@@ -19,4 +19,5 @@
     server.report = report
     server.reported_at = now
     server.last_heard = now
+    server.is_silent = False
     server.slowdown = min(MOST_SLOWDOWN, max(LEAST_SLOWDOWN, report.slowdown))
--- a/src/siskinpier/core/members.py
+++ b/src/siskinpier/core/members.py
@@ -41,6 +41,8 @@
     vouched_until: float = 0.0
     # The time of the last heartbeat that showed the same members as known here.
     agreed_at: float = 0.0
+    # Until then it is asked for no slots, as it left a request without a word.
+    doubted_until: float = 0.0
     spare: dict[str, int] = field(default_factory=dict)
     # The member's part of digests of a view.
     weight: int = field(init=False, default=0)
--- a/src/siskinpier/core/probing.py
+++ b/src/siskinpier/core/probing.py
@@ -9,7 +9,8 @@
 from .limits import refresh_limits
 from .probe_budget import note_probe_bytes, refresh_bucket
 from .server_marks import note_server_leaving
-from .speed_changes import take_speed
+from .speed_changes import note_silence, take_speed
+from .speeds import has_fallen_silent
 from .state import HostState, ServiceRuntime
 from .timers import ProbesDue
 
@@ -68,6 +69,8 @@
     for server in service.owned:
         if is_draining(server):
             continue
+        if not server.is_silent and has_fallen_silent(server, now):
+            note_silence(state, service, server, now, out)
         age_s = now - max(server.reported_at, server.probed_at)
         if age_s < REPORT_AGE_S:
             continue
--- a/src/siskinpier/core/slot_requests.py
+++ b/src/siskinpier/core/slot_requests.py
@@ -20,6 +20,8 @@
 NEAR_ANSWER_S: Final = 0.08
 # A home in another failure domain.
 FAR_ANSWER_S: Final = 0.15
+# A home that left a request without a word is asked nothing for this long, seconds.
+DOUBT_S: Final = 0.5
 # Homes that one attempt asks before its host chooses a server by itself.
 ASKS_LIMIT: Final = 3
 
@@ -34,7 +36,7 @@
     """Ask a home for a slot; return False when there is none left to ask."""
     if len(active.refused_by) >= ASKS_LIMIT:
         return False
-    home = _choose_home(state, service, active)
+    home = _choose_home(state, service, active, now)
     if home is None:
         return False
     member = state.members[home]
@@ -159,13 +161,18 @@
 
 
 def _choose_home(
-    state: HostState, service: ServiceRuntime, active: ActiveCall
+    state: HostState, service: ServiceRuntime, active: ActiveCall, now: float
 ) -> str | None:
     """Return the home of this failure domain, else the one with most room."""
     own = state.identity
-    owners = set(service.placement.owners.values()) - active.refused_by - {own.name}
+    owners = {
+        name
+        for name in set(service.placement.owners.values()) - active.refused_by
+        if (member := state.members.get(name)) and member.doubted_until <= now
+    }
+    owners.discard(own.name)
     for name in service.placement.homes.get(own.failure_domain, ()):
-        if name in owners and name in state.members:
+        if name in owners:
             return name
     others = set(service.placement.get_all_homes()) - owners
     peer = choose_peer(state, service, others, inf)
--- a/src/siskinpier/core/slots.py
+++ b/src/siskinpier/core/slots.py
@@ -27,7 +27,7 @@
 )
 from .problems import make_no_retry, make_no_server
 from .refusals import forget, refuse
-from .slot_requests import ask_slot, ask_spare, drop_asks, withdraw
+from .slot_requests import DOUBT_S, ask_slot, ask_spare, drop_asks, withdraw
 from .speed_changes import take_speed
 from .speeds import is_slow, learn_usual_time
 from .state import HostState, ServiceRuntime
@@ -262,6 +262,8 @@
         "after_s": round(now - active.asked_at, 3),
     }
     out.append(LogDecision(event="slot-unanswered", fields=fields))
+    if member is not None:
+        member.doubted_until = now + DOUBT_S
     drop_asks(active, out)
     _look_elsewhere(state, active, now, out)
 
--- a/src/siskinpier/core/speed_changes.py
+++ b/src/siskinpier/core/speed_changes.py
@@ -3,13 +3,26 @@
 from .balance import ServerRuntime
 from .calls import LoadReport
 from .dispatch import drain_queue
-from .effects import Effect
+from .effects import Effect, LogDecision
 from .hedging import hedge_slowed
 from .load_reports import take_load
 from .speeds import is_slow
 from .state import HostState, ServiceRuntime
 
 
+def note_silence(
+    state: HostState,
+    service: ServiceRuntime,
+    server: ServerRuntime,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Use a server last that leaves probes unanswered, and hedge its calls."""
+    _log_silence(service, server, now, out, is_silent=True)
+    server.is_silent = True
+    hedge_slowed(state, service, server, now, out)
+
+
 def take_speed(
     state: HostState,
     service: ServiceRuntime,
@@ -20,6 +33,8 @@
 ) -> None:
     """Take in a report; use a server that is fast again, hedge where it slowed."""
     was_slow = is_slow(server, now)
+    if server.is_silent:
+        _log_silence(service, server, now, out, is_silent=False)
     take_load(server, report, now)
     now_slow = is_slow(server, now)
     if was_slow == now_slow or server not in service.owned:
@@ -28,3 +43,20 @@
         hedge_slowed(state, service, server, now, out)
     else:
         drain_queue(state, service, now, out)
+
+
+def _log_silence(
+    service: ServiceRuntime,
+    server: ServerRuntime,
+    now: float,
+    out: list[Effect],
+    *,
+    is_silent: bool,
+) -> None:
+    fields: dict[str, object] = {
+        "service": service.intent.name,
+        "server": server.intent.name,
+        "silent": is_silent,
+        "unheard_s": round(now - server.reported_at, 3),
+    }
+    out.append(LogDecision(event="server-silent", fields=fields))
--- a/src/siskinpier/core/speeds.py
+++ b/src/siskinpier/core/speeds.py
@@ -11,6 +11,10 @@
 
 # A report says nothing any more of the speed after this long, seconds.
 SPEED_KNOWN_S: Final = 0.5
+# A server that left probes unanswered for this long is taken for silent, seconds, and
+# for so many times slower than usual.
+SILENT_AFTER_S: Final = 0.35
+SILENT_SLOWDOWN: Final = 20.0
 # A server that takes this many times longer than usual counts as slow.
 SLOW_FROM: Final = 2.0
 # How long a server that is slow now stays so, on average, seconds.
@@ -21,11 +25,20 @@
 
 def get_slowdown(server: ServerRuntime, now: float) -> float:
     """Return how many times longer than usual work takes; 1 where it is unknown."""
+    if server.is_silent:
+        return SILENT_SLOWDOWN
     if server.report is None or now - server.reported_at > SPEED_KNOWN_S:
         return 1.0
     return server.slowdown
 
 
+def has_fallen_silent(server: ServerRuntime, now: float) -> bool:
+    """Return True if a server that used to report leaves probes unanswered."""
+    if server.report is None or server.probed_at <= server.reported_at:
+        return False
+    return now - server.reported_at > SILENT_AFTER_S
+
+
 def is_slow(server: ServerRuntime, now: float) -> bool:
     """Return True if the server reported lately that its work takes much longer."""
     return get_slowdown(server, now) >= SLOW_FROM
@@ -34,7 +47,7 @@
 def estimate_run_s(service: ServiceRuntime, server: ServerRuntime, now: float) -> float:
     """Return how long a call that is sent now is likely to take, in seconds."""
     slowdown = get_slowdown(server, now)
-    if slowdown < SLOW_FROM:
+    if slowdown < SLOW_FROM or server.is_silent:
         return service.usual_s * slowdown
     # The server is likely to become fast again before work ends.
     return min(service.usual_s * slowdown, SLOW_LASTS_S + service.usual_s)
@@ -48,6 +61,8 @@
     slowdown = get_slowdown(server, now)
     if slowdown < SLOW_FROM:
         return work_s
+    if server.is_silent:
+        return service.usual_s * slowdown
     return min(work_s * slowdown, SLOW_LASTS_S + work_s)
 
 
--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -24,7 +24,7 @@
 from .headers import CALL_ID, Headers, get_header, strip_hop_by_hop
 from .streams import make_stream_socket
 
-CONNECT_BOUND_S: Final = 0.5
+CONNECT_BOUND_S: Final = 0.25
 KEEP_ALIVE_S: Final = 15.0
 FIELD_LIMIT_BYTES: Final = 16_384
 CHUNK_BYTES: Final = 65_536
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -66,6 +66,8 @@
     work_s: float = 0.1
     slowdown: float = 1.0
     status: int = 200
+    # Leaves probes and calls without an answer.
+    is_silent: bool = False
     running: int = 0
     runs: list[str] = field(default_factory=list)
 
@@ -295,6 +297,8 @@
 
     def _probe(self, host: str, service: str, server: str) -> None:
         def answer() -> None:
+            if self.servers[server].is_silent:
+                return
             event = ProbeAnswered(
                 now=self.now,
                 service=service,
@@ -315,7 +319,7 @@
 
         def finish() -> None:
             server.running -= 1
-            if key in self._cancelled or host in self.dead:
+            if server.is_silent or key in self._cancelled or host in self.dead:
                 return
             started = ReplyStarted(
                 now=self.now,
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -189,6 +189,54 @@
         assert [call for call, _ in world.sent].count("c1") == 1
 
 
+class TestSilence:
+    """Servers and homes that leave requests without a word."""
+
+    def test_silent_server_is_left(self) -> None:
+        world = make_world(servers=2)
+        world.servers["s0"].is_silent = True
+        world.run_for(0.6)
+        for n in range(4):
+            world.call(list(HOSTS)[n % 3], f"c{n}")
+            world.run_for(0.15)
+        assert {target for _, target in world.sent} == {"s1"}
+        assert [a.status for a in world.answers.values()] == [200] * 4
+
+    def test_call_at_a_server_that_falls_silent_is_sent_to_another(self) -> None:
+        world = make_world(servers=2, aim_s=0.9)
+        other = get_other(world)
+        for n in range(4):
+            world.call(other, f"w{n}")
+            world.run_for(0.2)
+        world.call(other, "c1")
+        world.run_for(0.01)
+        first = next(target for call, target in world.sent if call == "c1")
+        world.servers[first].is_silent = True
+        world.run_for(0.9)
+        assert world.answers["c1"].status == 200
+
+    def test_silent_server_is_used_again(self) -> None:
+        world = make_world(servers=1)
+        world.servers["s0"].is_silent = True
+        world.run_for(1.0)
+        world.servers["s0"].is_silent = False
+        world.run_for(0.3)
+        world.call(get_other(world), "c1")
+        world.run_for(0.3)
+        assert world.answers["c1"].status == 200
+        assert [f["silent"] for f in world.find_logs("server-silent")] == [True, False]
+
+    def test_silent_home_is_not_asked_by_each_call(self) -> None:
+        world = make_world(servers=2)
+        world.dead.add(world.get_home("d1"))
+        other = get_other(world)
+        for n in range(4):
+            world.call(other, f"c{n}")
+            world.run_for(0.1)
+        world.run_for(0.5)
+        assert len(world.find_logs("slot-unanswered")) == 1
+
+
 class TestMessages:
     """A call costs few messages, all inside its failure domain."""
 
