Log to standard output without waiting for its reader; tell a request's story

Cause: on-call engineers have only logs. Lines went to a stream that blocks, carried whole seconds, and a story had to be put together by hand.

Change: a bounded buffer that keeps failures before plain successes and counts what it leaves out; milliseconds; details of refusals; siskinpier explain ID FILE... orders the lines of several hosts and names the cause. siskinpier platform runs a host there.

--- a/src/siskinpier/arguments.py
+++ b/src/siskinpier/arguments.py
@@ -88,7 +88,20 @@
     target: Target
 
 
-Command: TypeAlias = Version | Check | Serve | Ask | Order | Apply
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Explain:
+    """Tell the story of a request from log files."""
+
+    request_id: str
+    files: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Platform:
+    """Run a host on the users' platform."""
+
+
+Command: TypeAlias = Version | Check | Serve | Ask | Order | Apply | Explain | Platform
 
 
 def _parse_flag(text: str) -> bool:
@@ -157,6 +170,24 @@
         """
         self._chosen = Serve(settings=settings)
 
+    @_typed()
+    def platform(self) -> None:
+        """Run a host with the settings that the users' platform names."""
+        self._chosen = Platform()
+
+    @_typed()
+    def explain(self, request_id: str, *files: str) -> None:
+        """Tell from log files what became of a request, and why.
+
+        Args:
+            request_id: id of the request, as its caller sent it.
+            files: logs of one or more hosts, as collected.
+
+        """
+        if not files:
+            raise CommandError("FILE is missing")
+        self._chosen = Explain(request_id=request_id, files=files)
+
     @_typed(json=_parse_flag)
     def ask(
         self,
--- a/src/siskinpier/cli.py
+++ b/src/siskinpier/cli.py
@@ -17,13 +17,16 @@
     Check,
     Command,
     CommandError,
+    Explain,
     Order,
+    Platform,
     Serve,
     Target,
     Version,
     parse_command,
 )
 from .exits import ExitCode
+from .explanation import tell_story
 from .operator_client import (
     OperatorClient,
     OperatorResult,
@@ -99,6 +102,26 @@
             return _report(_make_client(target).order(text), target)
         case Apply():
             return _apply(command)
+        case Explain():
+            return _explain(command)
+        case Platform():
+            # The other commands start faster without the modules of a host.
+            from .platform.process import run as run_on_platform
+            from .platform.settings import PATH_VARIABLE
+
+            return run_on_platform(os.environ.get(PATH_VARIABLE, ""))
+
+
+def _explain(command: Explain) -> int:
+    sources = [(file, _read_file(file).splitlines()) for file in command.files]
+    story = tell_story(command.request_id, sources)
+    for line in story.lines:
+        pairs = " ".join(f"{key}={value}" for key, value in line.fields.items())
+        print(f"{line.source}:{line.number}: {pairs}")
+    print(f"cause: {story.cause}")
+    if story.unreadable:
+        print(f"passed over: {story.unreadable} lines that are no log lines")
+    return ExitCode.OK if story.lines else ExitCode.REFUSED
 
 
 def _check(command: Check) -> int:
--- a/src/siskinpier/core/refusals.py
+++ b/src/siskinpier/core/refusals.py
@@ -57,6 +57,8 @@
                 "status": problem.status,
                 "verdict": problem.verdict,
                 "reason": problem.title,
+                "detail": problem.detail,
+                "retry_after_s": problem.retry_after_s,
             },
         )
     )
--- a/src/siskinpier/logs.py
+++ b/src/siskinpier/logs.py
@@ -3,6 +3,7 @@
 import logging
 import re
 import sys
+import time
 from typing import Final
 
 from logfmter import Logfmter
@@ -51,18 +52,24 @@
         return " ".join(parts)
 
 
-def set_up_logs(level: str = "info") -> None:
-    """Send events of the given level and above to standard error."""
+def set_up_logs(
+    level: str = "info", handler: logging.Handler | None = None
+) -> logging.Handler:
+    """Send events of the given level and above to a handler, and return it.
+
+    Without one they go to standard error.
+    """
     # Nothing shows them, and each costs time for every record.
     logging.logThreads = False
     logging.logProcesses = False
     logging.logMultiprocessing = False
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(LineFormatter())
     _logger.handlers = [handler]
     _logger.propagate = False
     _logger.setLevel(level.upper())
     _set_up_libraries(handler)
+    return handler
 
 
 def _set_up_libraries(handler: logging.Handler) -> None:
@@ -92,6 +99,7 @@
     shown: dict[str, object] = {"event": name}
     for key, value in fields.items():
         shown[key] = HIDDEN if key.lower() in SECRET_NAMES else value
+    shown["ms"] = int(time.time() * 1000) % 1000
     # Without a search for the line of code that logs, which nothing shows.
     record = logging.LogRecord(LOGGER_NAME, level, "", 0, shown, None, None)
     _logger.handle(record)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -24,6 +24,7 @@
 from ..edge.shell import Shell
 from ..edge.sockets import make_listener
 from ..exits import ExitCode
+from ..log_writer import LineWriter
 from ..logs import log_event, set_up_logs
 from ..metrics import HostMetrics
 from ..settings.host import (
@@ -66,7 +67,7 @@
 
 def run(path: str) -> int:
     """Run a host until it is told to stop; return the exit code."""
-    set_up_logs()
+    set_up_logs(handler=LineWriter(fd=sys.stdout.fileno()))
     try:
         settings = parse_settings(Path(path).read_text(encoding="utf-8"))
         sockets = [
--- /dev/null
+++ b/tests/test_explanation.py
@@ -0,0 +1,65 @@
+"""Tests of a request's story, told from the logs of several hosts."""
+
+from pathlib import Path
+
+import pytest
+
+from siskinpier import cli
+from siskinpier.explanation import tell_story
+
+HOLDER = [
+    "at=2026-01-01T00:00:01+0000 level=INFO event=route call=r1 service=s target=i-1"
+    " reason=granted ms=20",
+    "at=2026-01-01T00:00:02+0000 level=INFO event=refuse call=r1 service=s status=504"
+    ' verdict=may-have-run reason="Deadline passed" detail="no answer came" ms=1',
+    "not a line of ours",
+]
+HOME = [
+    "at=2026-01-01T00:00:01+0000 level=INFO event=queue call=h1/r1/1 service=s ms=10",
+    "at=2026-01-01T00:00:01+0000 level=INFO event=route call=h1/r1/1 service=s"
+    " target=i-1 reason=queued ms=19",
+    "at=2026-01-01T00:00:01+0000 level=INFO event=route call=h1/other/1 target=i-2",
+]
+
+
+class TestStory:
+    """Lines of all hosts, in order, with the cause."""
+
+    def test_lines_in_order(self) -> None:
+        story = tell_story("r1", [("holder", HOLDER), ("home", HOME)])
+        assert [line.event for line in story.lines] == [
+            "queue",
+            "route",
+            "route",
+            "refuse",
+        ]
+        assert story.unreadable == 1
+
+    def test_cause_of_a_call_that_may_have_run(self) -> None:
+        story = tell_story("r1", [("holder", HOLDER), ("home", HOME)])
+        assert "504, verdict may-have-run: Deadline passed" in story.cause
+        assert "sent to i-1" in story.cause
+
+    def test_cause_of_a_late_answer(self) -> None:
+        line = (
+            "event=answer call=r1 target=i-1 latency_s=1.1 total_s=1.2 slowdown=7.0"
+            " attempt=1"
+        )
+        cause = tell_story("r1", [("a", [line])]).cause
+        assert "after 1.2 s" in cause
+        assert "7.0 times slower" in cause
+
+    def test_unknown_request(self) -> None:
+        assert tell_story("r9", [("a", HOLDER)]).lines == []
+
+    @pytest.mark.parametrize("text", ["event=", "event=x call=", "=", '"', "a=b\0"])
+    def test_odd_lines_are_not_fatal(self, text: str) -> None:
+        tell_story("r1", [("a", [text])])
+
+    def test_command(self, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+        path = tmp_path / "a.log"
+        path.write_text("\n".join(HOLDER))
+        assert cli.run(["explain", "r1", str(path)]) == 0
+        out = capsys.readouterr().out
+        assert out.splitlines()[-2].startswith("cause: refused with 504")
+        assert cli.run(["explain", "r9", str(path)]) == 3
