Keep a lapsed server that came back unchanged; drop one that did not everywhere

Causes, found by new tests that failed first: an entry written again just as it was stayed on the list of those to be dropped; the relay told its domain of a drop under a revision that every host knew already; hosts began routes with weights at the same part, so that rare parts came late everywhere.

Change: a returning entry is struck off first; a drop at the known revision is taken; each host begins at a random place in the order of parts.

--- a/src/siskinpier/core/registry.py
+++ b/src/siskinpier/core/registry.py
@@ -59,7 +59,8 @@
 ) -> None:
     """Take in what a relay or a peer told; ask for all of it after a gap."""
     registry = state.registry
-    if notice.revision <= registry.revision:
+    is_drop = notice.base == notice.revision == registry.revision
+    if notice.revision <= registry.revision and not is_drop:
         return
     if not notice.is_whole and notice.base > registry.revision:
         request_servers(state, sender, out)
@@ -181,10 +182,10 @@
             _log_server("gone", old, revision, out)
     for server in servers:
         old = registry.servers.get(server.name)
+        registry.lapsed.pop(server.name, None)
         if old == server:
             continue
         registry.servers[server.name] = server
-        registry.lapsed.pop(server.name, None)
         touched.add(server.service)
         if old is not None:
             touched.add(old.service)
--- a/src/siskinpier/core/routes.py
+++ b/src/siskinpier/core/routes.py
@@ -12,6 +12,8 @@
 # calls falls to a third, seconds.
 SIZE_WEIGHT: Final = 0.05
 LOAD_MEMORY_S: Final = 10.0
+# Places in the order of parts that a host may begin at.
+FIRST_PLACES: Final = 100
 
 
 @dataclass(slots=True, kw_only=True)
@@ -79,13 +81,20 @@
         shares = {part.service: part.weight / total for part in route.services}
         owed = self.splits.get(route.name)
         if owed is None or owed.keys() != shares.keys():
-            owed = {name: share * rng.random() for name, share in shares.items()}
+            owed = dict.fromkeys(shares, 0.0)
             self.splits[route.name] = owed
-        for name, share in shares.items():
-            owed[name] += share
-        chosen = max(owed, key=lambda name: (owed[name], name))
-        owed[chosen] -= 1.0
-        return chosen
+            for _ in range(rng.randrange(FIRST_PLACES)):
+                _take_turn(owed, shares)
+        return _take_turn(owed, shares)
+
+
+def _take_turn(owed: dict[str, float], shares: dict[str, float]) -> str:
+    """Return the service that is owed most after another call, and pay it."""
+    for name, share in shares.items():
+        owed[name] += share
+    chosen = max(owed, key=lambda name: (owed[name], name))
+    owed[chosen] -= 1.0
+    return chosen
 
 
 def make_route_table(routes: tuple[Route, ...], old: RouteTable) -> RouteTable:
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,217 @@
+"""Tests of what the platform's store holds, as decoded at the border."""
+
+import copy
+from typing import Any
+
+import pytest
+
+from siskinpier.core.messages import RegisteredServer
+from siskinpier.platform.documents import (
+    Configuration,
+    Unreadable,
+    decode_configuration,
+    decode_host,
+    decode_server,
+    encode_host,
+)
+from siskinpier.platform.fields import parse_load
+from siskinpier.platform.settings import AdapterSettings, SettingsError, parse_settings
+
+SETTINGS_TEXT = """
+nodeName=front-1
+zone=z1
+region=r1
+ipAddress=10.0.0.1
+listenAddresses.front=10.0.0.1:1
+listenAddresses.ready=10.0.0.1:2
+listenAddresses.control=10.0.0.1:3
+listenAddresses.directory=10.0.0.1:4
+internalPortRange=7620,7635
+seeds=10.0.0.1:3,10.0.0.2:3
+bounds.retryBudgetRatio=0.2
+bounds.retryBudgetSlack=62
+platform.address=10.9.9.9:8642
+platform.form=objects
+new.field.deep=1
+"""
+ENTRY: dict[str, Any] = {
+    "address": "10.0.0.9:80",
+    "info": {"service": "s", "version": "v1", "zone": "z1", "slots": 4},
+    "status": {"state": "ready", "sequence": 4, "warmupLeftS": 1.5},
+    "born": 17,
+}
+CONFIG: dict[str, Any] = {
+    "version": "0000001c",
+    "listeners": [
+        {
+            "host": "Films.Example",
+            "rules": [
+                {
+                    "name": "r",
+                    "kind": "safe",
+                    "targetLatencyS": 0.25,
+                    "priority": 1,
+                    "match": {"pathPrefix": "/a/"},
+                    "action": {
+                        "weightedServices": [
+                            {"service": "s", "weight": 90},
+                            {"service": "t", "weight": 10},
+                        ],
+                        "timeoutS": 1.2,
+                        "attempts": 2,
+                    },
+                }
+            ],
+        }
+    ],
+    "clusters": [{"name": "s", "healthPath": "/up", "maxConnections": 26}],
+}
+
+
+def make_settings() -> AdapterSettings:
+    """Return settings as the platform writes them."""
+    return parse_settings(SETTINGS_TEXT)
+
+
+def change(document: dict[str, Any], path: str, value: Any) -> dict[str, Any]:
+    """Return a copy with one field changed, or left out for None."""
+    made = copy.deepcopy(document)
+    *tables, last = path.split(".")
+    table = made
+    for name in tables:
+        table = table[name]
+    if value is None:
+        del table[last]
+    else:
+        table[last] = value
+    return made
+
+
+class TestSettings:
+    """Lines of the settings file."""
+
+    def test_fields(self) -> None:
+        settings = make_settings()
+        assert str(settings.callers) == "10.0.0.1:1"
+        assert settings.seed_peers == ("10.0.0.1:3", "10.0.0.2:3")
+        assert settings.store == "10.9.9.9:8642"
+        assert (settings.retry_share, settings.retry_slack) == (0.2, 62.0)
+
+    @pytest.mark.parametrize(
+        ("line", "named"),
+        [
+            ("nodeName=front-1", "nodeName"),
+            ("platform.address=10.9.9.9:8642", "platform.address"),
+            ("listenAddresses.front=10.0.0.1:1", "listenAddresses.front"),
+        ],
+    )
+    def test_missing_field_is_named(self, line: str, named: str) -> None:
+        with pytest.raises(SettingsError, match=named):
+            parse_settings(SETTINGS_TEXT.replace(line, ""))
+
+    def test_key_that_is_also_a_table(self) -> None:
+        assert parse_settings(SETTINGS_TEXT + "region.x=1\n").region == "r1"
+
+
+class TestServers:
+    """Entries of backend servers; one that cannot be read names no server."""
+
+    def test_entry(self) -> None:
+        assert decode_server("i-1", ENTRY, None) == RegisteredServer(
+            name="i-1",
+            service="s",
+            address="10.0.0.9:80",
+            failure_domain="z1",
+            slots=4,
+            is_draining=False,
+            warmup_left_s=1.5,
+            started=17,
+        )
+
+    def test_status_beside_spec(self) -> None:
+        status = {"state": "draining", "sequence": 5}
+        decoded = decode_server("i-1", ENTRY, status)
+        assert isinstance(decoded, RegisteredServer)
+        assert decoded.is_draining
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            ("address", None),
+            ("address", 7),
+            ("address", "nowhere"),
+            ("info", None),
+            ("info", []),
+            ("info.slots", "4"),
+            ("info.slots", 0),
+            ("info.service", ""),
+            ("status.state", "resting"),
+            ("status", None),
+            ("status.warmupLeftS", "soon"),
+            ("born", 1.5),
+        ],
+    )
+    def test_unreadable_entry(self, path: str, value: Any) -> None:
+        decoded = decode_server("i-1", change(ENTRY, path, value), None)
+        assert isinstance(decoded, Unreadable)
+        assert decoded.reason
+
+    @pytest.mark.parametrize("spec", [None, 7, "text", [], {}])
+    def test_other_documents(self, spec: Any) -> None:
+        assert isinstance(decode_server("i-1", spec, None), Unreadable)
+
+
+class TestConfiguration:
+    """The operator's configuration."""
+
+    def test_routes(self) -> None:
+        decoded = decode_configuration(CONFIG, make_settings())
+        assert isinstance(decoded, Configuration)
+        assert decoded.intents.revision == 0x1C
+        (route,) = decoded.intents.routes
+        assert (route.virtual_host, route.path_prefix) == ("films.example", "/a/")
+        assert [(p.service, p.weight) for p in route.services] == [("s", 90), ("t", 10)]
+        assert (route.idempotent, route.urgency, route.attempts) == (True, 1, 2)
+        assert (route.timeout_s, route.aim_s) == (1.2, 0.25)
+        (service,) = decoded.intents.services
+        assert (service.probes.path, service.server_connections) == ("/up", 26)
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [("version", "28"), ("version", None), ("listeners", 3), ("clusters", None)],
+    )
+    def test_unreadable(self, path: str, value: Any) -> None:
+        decoded = decode_configuration(change(CONFIG, path, value), make_settings())
+        assert isinstance(decoded, Unreadable)
+
+
+class TestHosts:
+    """Objects of the entry hosts, which they write themselves."""
+
+    def test_round_trip(self) -> None:
+        settings = make_settings()
+        decoded = decode_host("front-1", encode_host(settings))
+        assert not isinstance(decoded, Unreadable)
+        assert (decoded.callers, decoded.peers) == ("10.0.0.1:1", "10.0.0.1:3")
+
+    def test_unreadable(self) -> None:
+        assert isinstance(decode_host("x", {"peers": 1}), Unreadable)
+
+
+class TestLoad:
+    """The load that backend servers report."""
+
+    def test_four_figures(self) -> None:
+        load = parse_load(b"3,1,8,700")
+        assert load is not None
+        assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+        assert load.slowdown == 7.0
+
+    def test_three_figures(self) -> None:
+        load = parse_load(b"3, 0, 8")
+        assert load is not None
+        assert load.slowdown == 1.0
+
+    @pytest.mark.parametrize("value", [None, b"", b"1,2", b"a,b,c", b"1,2,3,-4"])
+    def test_unreadable(self, value: bytes | None) -> None:
+        assert parse_load(value) is None
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,123 @@
+"""Tests of the registry of backend servers, and of relays that watch it."""
+
+from siskinpier.core.events import PlatformLost, PlatformReached, ServersChanged
+from siskinpier.core.messages import RelayWord, ServersNotice
+from tests.standins.slot_world import ScriptedServer, SlotWorld
+
+HOSTS = {"h1": "d1", "h2": "d1", "h3": "d1"}
+
+
+def make_world() -> SlotWorld:
+    """Return hosts of one failure domain and two servers."""
+    servers = [ScriptedServer(name=f"s{n}", failure_domain="d1") for n in range(2)]
+    return SlotWorld(hosts=HOSTS, servers=servers)
+
+
+def find_relay(world: SlotWorld) -> str:
+    """Return the host that watches."""
+    (relay,) = [name for name, state in world.states.items() if state.watching]
+    return relay
+
+
+def list_known(world: SlotWorld, host: str) -> list[str]:
+    """Return the servers that a host knows."""
+    return sorted(world.states[host].registry.servers)
+
+
+class TestRelays:
+    """One host of a failure domain watches; another follows where it falls silent."""
+
+    def test_one_host_watches(self) -> None:
+        world = make_world()
+        assert find_relay(world) in HOSTS
+
+    def test_change_reaches_every_host(self) -> None:
+        world = make_world()
+        event = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+        world.handle(find_relay(world), event)
+        world.run_for(0.01)
+        assert all(list_known(world, host) == ["s1"] for host in HOSTS)
+
+    def test_dead_relay_is_followed_within_the_bound(self) -> None:
+        world = make_world()
+        dead = find_relay(world)
+        world.dead.add(dead)
+        world.run_for(1.4)
+        watching = [n for n, s in world.states.items() if s.watching and n != dead]
+        assert watching
+
+    def test_relay_that_lost_the_platform_is_followed_at_once(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        world.handle(relay, PlatformLost(now=world.now, reason="silent"))
+        world.run_for(0.01)
+        watching = [n for n, s in world.states.items() if s.watching and n != relay]
+        assert len(watching) == 1
+
+    def test_lost_word_fetches_what_is_missing(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        world.drop = lambda a, b, m: isinstance(m, ServersNotice)
+        event = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+        world.handle(relay, event)
+        world.run_for(0.01)
+        world.drop = lambda a, b, m: False
+        world.run_for(0.5)
+        assert all(list_known(world, host) == ["s1"] for host in HOSTS)
+
+    def test_words_say_what_is_known(self) -> None:
+        world = make_world()
+        seen: list[RelayWord] = []
+        world.drop = lambda a, b, m: isinstance(m, RelayWord) and bool(
+            seen.append(m)  # type: ignore[func-returns-value]
+        )
+        world.run_for(0.5)
+        assert {word.servers_revision for word in seen} == {1}
+
+
+class TestOrder:
+    """Revisions order what is heard, by whichever way."""
+
+    def test_old_notice_changes_nothing(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        event = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+        world.handle(relay, event)
+        world.run_for(0.01)
+        other = next(name for name in HOSTS if name != relay)
+        old = ServersNotice(
+            base=0, revision=4, servers=tuple(world.register()), gone=(), is_whole=True
+        )
+        world._deliver(relay, other, old)
+        world.run_for(0.01)
+        assert list_known(world, other) == ["s1"]
+
+
+class TestLapse:
+    """Entries that lapse around an outage are kept until servers could come back."""
+
+    def test_lapsed_server_is_kept_then_dropped(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        world.handle(relay, PlatformLost(now=world.now, reason="down"))
+        world.run_for(0.1)
+        world.handle(relay, PlatformReached(now=world.now))
+        world.list_servers(relay, world.register()[1:], 9)
+        world.run_for(1.0)
+        assert list_known(world, relay) == ["s0", "s1"]
+        world.run_for(3.0)
+        assert all(list_known(world, host) == ["s1"] for host in HOSTS)
+
+    def test_server_that_comes_back_stays(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        world.handle(relay, PlatformLost(now=world.now, reason="down"))
+        world.handle(relay, PlatformReached(now=world.now))
+        world.list_servers(relay, [], 9)
+        world.run_for(1.0)
+        event = ServersChanged(
+            now=world.now, revision=12, servers=tuple(world.register()), gone=()
+        )
+        world.handle(relay, event)
+        world.run_for(4.0)
+        assert list_known(world, relay) == ["s0", "s1"]
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,76 @@
+"""Tests of routes: the longest prefix, exact parts, and addresses by slots."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from siskinpier.core.address_choice import count_hosts
+from siskinpier.core.intents import Route, WeightedService
+from siskinpier.core.routes import RouteTable, make_route_table
+
+
+def make_route(name: str, prefix: str, *weights: float) -> Route:
+    """Return a route whose services are named by their place."""
+    services = tuple(
+        WeightedService(service=f"s{n}", weight=weight)
+        for n, weight in enumerate(weights or (1.0,))
+    )
+    return Route(name=name, virtual_host="h", path_prefix=prefix, services=services)
+
+
+class TestFind:
+    """The longest prefix applies."""
+
+    @pytest.mark.parametrize(
+        ("path", "name"),
+        [("/a/x", "a"), ("/a/b/x", "ab"), ("/a/bc", "a"), ("/c/", None), ("/a", None)],
+    )
+    def test_longest_prefix(self, path: str, name: str | None) -> None:
+        routes = (make_route("a", "/a/"), make_route("ab", "/a/b/"))
+        found = make_route_table(routes, RouteTable()).find("h", path)
+        assert (found.name if found else None) == name
+
+    def test_other_virtual_host(self) -> None:
+        table = make_route_table((make_route("a", "/"),), RouteTable())
+        assert table.find("other", "/") is None
+
+
+class TestParts:
+    """Each part gets its weight over any run of calls."""
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_parts_are_exact(self, seed: int) -> None:
+        route = make_route("a", "/", 70.0, 20.0, 10.0)
+        table, rng = RouteTable(), Random(seed)
+        counts = Counter(table.choose_service(route, rng) for _ in range(100))
+        for name, part in (("s0", 70), ("s1", 20), ("s2", 10)):
+            assert abs(counts[name] - part) <= 2
+
+    def test_many_hosts_do_not_begin_alike(self) -> None:
+        route = make_route("a", "/", 90.0, 10.0)
+        first = Counter(
+            RouteTable().choose_service(route, Random(seed)) for seed in range(200)
+        )
+        assert 5 <= first["s1"] <= 50
+
+    def test_weights_of_zero(self) -> None:
+        route = make_route("a", "/", 0.0, 0.0)
+        assert RouteTable().choose_service(route, Random(1)) is None
+
+
+class TestCountHosts:
+    """Addresses by the slots of each failure domain."""
+
+    def test_in_proportion(self) -> None:
+        counts = count_hosts(
+            {"a": 6, "b": 6, "c": 6}, {"a": 0.5, "b": 0.125, "c": 0.375}
+        )
+        assert counts["a"] == 6
+        assert counts["b"] < counts["c"] < counts["a"]
+
+    def test_no_domain_is_left_out(self) -> None:
+        assert count_hosts({"a": 3, "b": 3}, {"a": 1.0}) == {"a": 3, "b": 1}
+
+    def test_nothing_known(self) -> None:
+        assert count_hosts({"a": 3, "b": 2}, {}) == {"a": 3, "b": 2}
