Try: late calls wait last, ends' rate bounds waiting; no slow start of reported servers

After the closing power cut servers counted as cold for 2 s.

Change: calls that cannot keep their aim come after those that can and wait only if that is likely to end well before their deadline, by the rate at which calls end; servers that register need no slow start; a hedge by time waits for 4 usual runs.

--- a/src/siskinpier/core/admission.py
+++ b/src/siskinpier/core/admission.py
@@ -3,8 +3,11 @@
 from typing import Final
 
 from .balance import get_slot_limit, is_draining, is_ejected
+from .calls import ActiveCall
 from .state import ServiceRuntime
 
+# How much longer a late call waits, as others come in before it.
+OVERTAKING: Final = 2.0
 LONGEST_RETRY_AFTER_S: Final = 30.0
 SHORTEST_RETRY_AFTER_S: Final = 0.1
 
@@ -25,6 +28,34 @@
     return now + wait_s + service.service_time_s > deadline
 
 
+def is_hopeless(service: ServiceRuntime, active: ActiveCall, now: float) -> bool:
+    """Return True if a call had better not wait here.
+
+    One that is likely to keep its aim waits. One that is not comes behind all calls
+    that are, those that arrive meanwhile included, so it waits only if it would be
+    answered well before its deadline.
+    """
+    deadline = active.call.deadline
+    wait_s = estimate_turn_s(service, active, now, is_late=False)
+    if not active.is_late(wait_s + service.usual_s, now):
+        return False
+    wait_s = estimate_turn_s(service, active, now, is_late=True)
+    return now + OVERTAKING * wait_s + service.service_time_s > deadline
+
+
+def estimate_turn_s(
+    service: ServiceRuntime, active: ActiveCall, now: float, *, is_late: bool
+) -> float:
+    """Return the expected wait for a slot, from how fast calls ended lately."""
+    queue = service.queue
+    ahead = queue.count_ahead(active.urgency, active.call.deadline, is_late=is_late)
+    slots_s = (ahead + 1) * service.service_time_s / _count_slots(service, now)
+    rate = service.ends.get_rate(now)
+    if len(queue) == 0 or rate <= 0.0:
+        return slots_s
+    return max(slots_s, (ahead + 1) / rate)
+
+
 def get_retry_after_s(service: ServiceRuntime, now: float) -> float:
     """Return when coming back is likely to find a slot, in seconds."""
     length = len(service.queue) + 1
--- a/src/siskinpier/core/budgets.py
+++ b/src/siskinpier/core/budgets.py
@@ -1,6 +1,28 @@
 """Token buckets, in the time of events."""
 
 from dataclasses import dataclass
+from math import exp
+
+
+@dataclass(slots=True, kw_only=True)
+class RateMeter:
+    """The rate of events lately, weighed by their age."""
+
+    memory_s: float
+    weight: float = 0.0
+    updated: float = 0.0
+
+    def count(self, now: float) -> None:
+        """Count an event."""
+        self.weight = self._decay(now) + 1.0
+        self.updated = now
+
+    def get_rate(self, now: float) -> float:
+        """Return events a second."""
+        return self._decay(now) / self.memory_s
+
+    def _decay(self, now: float) -> float:
+        return self.weight * exp((self.updated - now) / self.memory_s)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinpier/core/calls.py
+++ b/src/siskinpier/core/calls.py
@@ -2,13 +2,16 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import Final
+from typing import Final, TypeAlias
 
 from .intents import Route
 from .verdict import Verdict
 
 DEFAULT_ATTEMPTS_LIMIT: Final = 3
 
+# Urgency, whether the call cannot keep its aim, deadline, place, and id.
+QueueEntry: TypeAlias = tuple[int, bool, float, int, str]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
@@ -120,7 +123,7 @@
     stage: Stage = Stage.QUEUED
     worst: Verdict = Verdict.NOT_RUN
     attempts: list[Attempt] = field(default_factory=list)
-    queue_entry: tuple[int, float, int, str] | None = None
+    queue_entry: QueueEntry | None = None
     relayed_from: float = 0.0
     rival: Attempt | None = None
     hedge_timer_set: bool = False
@@ -158,6 +161,10 @@
                 return attempt
         return None
 
+    def is_late(self, run_s: float, now: float) -> bool:
+        """Return True if a run of so many seconds would miss the aim."""
+        return self.aim_s > 0.0 and now + run_s > self.arrived + self.aim_s
+
     def has_been_sent(self) -> bool:
         """Return True if an attempt may have reached a backend server."""
         return any(not attempt.is_unreachable for attempt in self.attempts)
--- a/src/siskinpier/core/cluster.py
+++ b/src/siskinpier/core/cluster.py
@@ -322,7 +322,9 @@
         runtime = servers[server.name]
         if runtime.intent.state != server.state or old is None:
             runtime.is_leaving = False
-        if server.name not in known and old is not None:
+        # Servers that register report their speed, and say how long they are cold.
+        is_fresh = server.name not in known and old is not None
+        if is_fresh and not state.settings.servers_register:
             runtime.warm_from = now
         if runtime.intent.state != server.state:
             runtime.warm_from = now
--- a/src/siskinpier/core/dispatch.py
+++ b/src/siskinpier/core/dispatch.py
@@ -3,7 +3,12 @@
 from math import inf
 from typing import Final
 
-from .admission import estimate_wait_s, get_retry_after_s, is_too_late
+from .admission import (
+    estimate_wait_s,
+    get_retry_after_s,
+    is_hopeless,
+    is_too_late,
+)
 from .attempts import forward, send
 from .balance import ServerRuntime, choose_server, has_room, has_tried_all, is_draining
 from .calls import ActiveCall, Stage
@@ -142,6 +147,7 @@
 
     A call that avoids the servers it tried holds up no call behind it.
     """
+    _put_late_calls_last(state, service, now)
     for call_id in service.queue.get_call_ids(last=OVERTAKEN_LIMIT):
         active = state.calls[call_id]
         server = choose_among(service, servers, active, now)
@@ -150,6 +156,17 @@
     return None
 
 
+def _put_late_calls_last(state: HostState, service: ServiceRuntime, now: float) -> None:
+    """Move first calls that cannot keep their aim behind those that can."""
+    while (call_id := service.queue.peek()) is not None:
+        active = state.calls[call_id]
+        entry = active.queue_entry
+        if entry is None or entry[1] or not active.is_late(service.usual_s, now):
+            return
+        service.queue.remove(active)
+        service.queue.push(active, is_late=True)
+
+
 def _get_wait_s(service: ServiceRuntime, active: ActiveCall, now: float) -> float:
     """Return the expected wait here; infinity where no untried server is owned."""
     if has_tried_all(service.owned, active.get_tried(), now):
@@ -197,7 +214,10 @@
         refuse(active, make_no_server(active.call.service, active.worst), out)
         return
     deadline = active.call.deadline
-    is_late = is_too_late(service, active.urgency, deadline, now)
+    if active.aim_s > 0.0 and state.settings.grants_slots:
+        is_late = is_hopeless(service, active, now)
+    else:
+        is_late = is_too_late(service, active.urgency, deadline, now)
     is_full = len(service.queue) >= service.intent.queue_limit
     if is_late or (is_full and not _make_room(state, service, active, now, out)):
         is_own = active.call.hops == 0 and state.settings.grants_slots
@@ -217,7 +237,7 @@
     service: ServiceRuntime, active: ActiveCall, now: float, out: list[Effect]
 ) -> None:
     active.stage = Stage.QUEUED
-    service.queue.push(active)
+    service.queue.push(active, is_late=active.is_late(service.usual_s, now))
     if active.slow_from > now:
         timer = PatienceDue(service=active.call.service)
         out.append(SetTimer(timer=timer, at=active.slow_from))
--- a/src/siskinpier/core/hedging.py
+++ b/src/siskinpier/core/hedging.py
@@ -21,6 +21,9 @@
 QUANTILE_STEP: Final = 0.1
 LEAST_QUANTILE: Final = 0.5
 AGAIN_SHARE: Final = 0.25
+# Times the usual run after which the answer of a server that reports its speed is
+# taken for lost.
+LOST_AFTER: Final = 4.0
 
 
 def plan_hedge(
@@ -35,7 +38,13 @@
         return
     active.hedge_timer_set = True
     timer = HedgeDue(call_id=active.call.call_id)
-    out.append(SetTimer(timer=timer, at=now + service.hedge_after_s))
+    after_s = service.hedge_after_s
+    attempt = active.attempt
+    server = service.servers.get(attempt.target) if attempt is not None else None
+    if server is not None and server.report is not None:
+        # Its reports tell of slow spells; this is for an answer that was lost.
+        after_s = max(after_s, LOST_AFTER * service.usual_s)
+    out.append(SetTimer(timer=timer, at=now + after_s))
 
 
 def send_hedge(state: HostState, call_id: str, now: float, out: list[Effect]) -> None:
--- a/src/siskinpier/core/slots.py
+++ b/src/siskinpier/core/slots.py
@@ -115,6 +115,7 @@
     if ended is None:
         return
     _learn(state, service, ended, message, now, out)
+    service.ends.count(now)
     release(service, ended, out)
     if not active.end_attempt(ended):
         forget(state, active, out)
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from .balance import ServerRuntime
-from .budgets import TokenBucket
+from .budgets import RateMeter, TokenBucket
 from .calls import ActiveCall
 from .claim_state import ClaimsState
 from .explain import DecisionHistory
@@ -22,6 +22,8 @@
 from .waiting import CallQueue
 
 RETRY_TOKENS_KEPT: Final = 10.0
+# Time over which the rate of ending calls is taken, seconds.
+ENDS_MEMORY_S: Final = 1.0
 
 
 @unique
@@ -85,6 +87,8 @@
         default_factory=lambda: TokenBucket(rate=0.0, capacity=1.0)
     )
     service_time_s: float = 0.0
+    # Calls that ended, here and at their holders.
+    ends: RateMeter = field(default_factory=lambda: RateMeter(memory_s=ENDS_MEMORY_S))
     # Median of the run times of calls, seconds.
     usual_s: float = 0.0
     probe_bytes: float = 0.0
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
+from math import floor
+from random import Random
 from typing import Final
 
 from siskinpier.core.calls import Call, LoadReport
@@ -56,6 +58,50 @@
 VIRTUAL_HOST: Final = "films.example"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Neighbours:
+    """Other work on a server's machine, which slows it in spells.
+
+    Each spell of `spell_s` is slow with the chance `share`, by the factor `slowdown`.
+    """
+
+    seed: int
+    share: float = 0.25
+    slowdown: float = 7.0
+    spell_s: float = 0.5
+
+    def get_slowdown(self, now: float) -> float:
+        """Return how many times longer work takes at a time."""
+        return self._get(self._find(now))
+
+    def stretch(self, work_s: float, now: float) -> float:
+        """Return how long work takes that starts now."""
+        at, left_s = now, work_s
+        while True:
+            spell = self._find(at)
+            end = (spell + 1) * self.spell_s + self._phase()
+            factor = self._get(spell)
+            if left_s * factor <= end - at:
+                return at + left_s * factor - now
+            left_s -= (end - at) / factor
+            at = end
+
+    def _find(self, now: float) -> int:
+        return floor((now - self._phase()) / self.spell_s)
+
+    def _phase(self) -> float:
+        return Random(self.seed).random() * self.spell_s
+
+    def _get(self, spell: int) -> float:
+        is_slow = Random(self.seed * 1_000_003 + spell).random() < self.share
+        return self.slowdown if is_slow else 1.0
+
+
+def vary(call_id: str) -> float:
+    """Return a call's share of the usual work, the same for every policy."""
+    return Random(call_id).uniform(0.6, 1.4)
+
+
 @dataclass(slots=True, kw_only=True)
 class ScriptedServer:
     """A backend server; `runs` holds the ids of the calls that it ran."""
@@ -68,18 +114,27 @@
     status: int = 200
     # Leaves probes and calls without an answer.
     is_silent: bool = False
+    # Neighbours that slow it in spells; None for none.
+    neighbours: Neighbours | None = None
     running: int = 0
     runs: list[str] = field(default_factory=list)
 
-    def report(self) -> LoadReport:
+    def report(self, now: float) -> LoadReport:
         """Return the load of now."""
+        slowdown = self.slowdown
+        if self.neighbours is not None:
+            slowdown *= self.neighbours.get_slowdown(now)
         return LoadReport(
-            running=self.running,
-            waiting=0,
-            slots=self.slots,
-            slowdown=self.slowdown,
+            running=self.running, waiting=0, slots=self.slots, slowdown=slowdown
         )
 
+    def get_run_s(self, call_id: str, now: float) -> float:
+        """Return how long a call takes that starts now."""
+        work_s = self.work_s * self.slowdown
+        if self.neighbours is None:
+            return work_s
+        return self.neighbours.stretch(work_s * vary(call_id), now)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
@@ -304,7 +359,7 @@
                 service=service,
                 server=server,
                 latency_s=0.001,
-                report=self.servers[server].report(),
+                report=self.servers[server].report(self.now),
             )
             self.handle(host, event)
 
@@ -326,7 +381,7 @@
                 call_id=effect.call_id,
                 attempt=effect.attempt,
                 status=server.status,
-                report=server.report(),
+                report=server.report(self.now),
             )
             self.handle(host, started)
             if key in self._cancelled:
@@ -342,7 +397,7 @@
             )
             self._answer(effect.call_id, server.status, Verdict.RAN)
 
-        self.after(server.work_s * server.slowdown, finish)
+        self.after(server.get_run_s(effect.call_id, self.now), finish)
 
 
 def make_route(**changes: object) -> Route:
--- /dev/null
+++ b/tests/test_noisy_neighbours.py
@@ -0,0 +1,145 @@
+"""Servers whose neighbours slow them 7 times for a part of each half second.
+
+The same calls and the same slow spells are played against hosts that each choose the
+server with the fewest calls of their own in flight.
+"""
+
+import heapq
+from functools import cache
+from itertools import count
+from random import Random
+
+from siskinpier.core.intents import ServiceIntent
+from tests.standins.slot_world import (
+    Neighbours,
+    ScriptedServer,
+    SlotWorld,
+    make_route,
+    vary,
+)
+
+HOSTS = {f"h{n}": "d1" for n in range(3)}
+SERVERS = 8
+SLOTS = 4
+WORK_S = 0.1
+AIM_S = 0.3
+LENGTH_S = 10.0
+WARM_UP_S = 2.0
+START = 1_003.0
+LOADS = (0.3, 0.6)
+
+
+def make_servers() -> list[ScriptedServer]:
+    """Return servers whose slow spells do not depend on the policy."""
+    return [
+        ScriptedServer(
+            name=f"s{n}",
+            failure_domain="d1",
+            slots=SLOTS,
+            work_s=WORK_S,
+            neighbours=Neighbours(seed=n + 1),
+        )
+        for n in range(SERVERS)
+    ]
+
+
+def make_arrivals(load: float) -> list[tuple[float, str, str]]:
+    """Return time, host and id of each call; load is the share of all slots."""
+    rng = Random(1)
+    rate = load * SERVERS * SLOTS / WORK_S
+    at, made = 0.0, []
+    while at < LENGTH_S:
+        at += rng.expovariate(rate)
+        made.append((at, f"h{rng.randrange(3)}", f"c{len(made)}"))
+    return made
+
+
+def get_percentile(latencies: list[float], share: float) -> float:
+    """Return the latency that a share of the calls stay under."""
+    ordered = sorted(latencies)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+@cache
+def play_slots(load: float, *, idempotent: bool) -> tuple[float, float, float]:
+    """Return p50 and p99 of the hosts, and the share of calls sent twice."""
+    route = make_route(idempotent=idempotent, aim_s=AIM_S, timeout_s=10.0, attempts=2)
+    service = ServiceIntent(name="films", retry_share=0.08, hedge_share=0.06)
+    world = SlotWorld(hosts=HOSTS, servers=make_servers(), route=route, service=service)
+    arrivals = make_arrivals(load)
+    for at, host, call_id in arrivals:
+        world.after(at, lambda h=host, c=call_id: world.call(h, c, 10.0))  # type: ignore[misc]
+    world.run_for(LENGTH_S + 10.0)
+    late = [c for at, _, c in arrivals if at >= WARM_UP_S]
+    answered = [world.answers[c] for c in late]
+    assert all(answer.status == 200 for answer in answered)
+    latencies = [answer.after_s for answer in answered]
+    repeats = len(world.sent) / len(arrivals) - 1.0
+    return get_percentile(latencies, 0.5), get_percentile(latencies, 0.99), repeats
+
+
+@cache
+def play_least_outstanding(load: float) -> tuple[float, float]:
+    """Return p50 and p99 of hosts that choose by their own calls in flight."""
+    servers = make_servers()
+    in_flight = {(h, s.name): 0 for h in HOSTS for s in servers}
+    running = {s.name: 0 for s in servers}
+    waiting: dict[str, list[tuple[float, str, str]]] = {s.name: [] for s in servers}
+    order = count()
+    ends: list[tuple[float, int, str, str, float]] = []
+    latencies: list[float] = []
+
+    def start(
+        server: ScriptedServer, host: str, call: str, at: float, now: float
+    ) -> None:
+        running[server.name] += 1
+        assert server.neighbours is not None
+        run_s = server.neighbours.stretch(WORK_S * vary(call), START + now)
+        heapq.heappush(ends, (now + run_s, next(order), server.name, host, at))
+
+    def finish_until(now: float) -> None:
+        while ends and ends[0][0] <= now:
+            end, _, name, host, at = heapq.heappop(ends)
+            running[name] -= 1
+            in_flight[host, name] -= 1
+            if at >= WARM_UP_S:
+                latencies.append(end - at)
+            if waiting[name]:
+                began, waiter, call = waiting[name].pop(0)
+                server = next(s for s in servers if s.name == name)
+                start(server, waiter, call, began, end)
+
+    for at, host, call in make_arrivals(load):
+        finish_until(at)
+        server = min(
+            servers, key=lambda s: (in_flight[host, s.name], vary(call + s.name))
+        )
+        in_flight[host, server.name] += 1
+        if running[server.name] < SLOTS:
+            start(server, host, call, at, at)
+        else:
+            waiting[server.name].append((at, host, call))
+    finish_until(LENGTH_S + 100.0)
+    return get_percentile(latencies, 0.5), get_percentile(latencies, 0.99)
+
+
+class TestNoisyNeighbours:
+    """Knowing the speed of now halves the tail, at the same work."""
+
+    def test_p99_of_calls_that_may_be_repeated(self) -> None:
+        for load in LOADS:
+            _, ours, _ = play_slots(load, idempotent=True)
+            _, rival = play_least_outstanding(load)
+            assert ours <= 0.5 * rival
+
+    def test_p99_of_calls_that_may_not(self) -> None:
+        for load in LOADS:
+            _, ours, repeats = play_slots(load, idempotent=False)
+            _, rival = play_least_outstanding(load)
+            assert repeats == 0.0
+            assert ours <= rival
+
+    def test_repeats_stay_within_their_budget(self) -> None:
+        for load in LOADS:
+            _, _, repeats = play_slots(load, idempotent=True)
+            assert repeats <= 0.1
