Spare bytes between failure domains and calls to the store

Change: hosts that grant slots send one heartbeat a second to one host of each other failure domain, without rooms; a silent host there is known after 4 s instead of 2. A fresh host lists the hosts first, waits 0.3 s for a relay's word, and writes its own object only where it is missing. A call that is late anyhow is hedged when it needs two usual runs more.

Ruled out: a full second of gathering changes (a drain must be known in 2 s).

--- a/src/siskinpier/core/cluster.py
+++ b/src/siskinpier/core/cluster.py
@@ -22,6 +22,7 @@
 from .forwarding import count_spare
 from .intents import ServiceIntent
 from .members import (
+    FAR_HEARTBEATS,
     Member,
     forget_silent,
     is_believed_alive,
@@ -49,6 +50,8 @@
 GREETED_LIMIT: Final = 8
 # Silent hosts that are tried with each heartbeat, as a cut may have ended.
 SILENT_TRIED: Final = 2
+# Hosts of another failure domain that hear a host's heartbeats, where these are dear.
+FAR_MONITORS: Final = 1
 NO_PLACEMENT: Final = ServicePlacement(homes={}, owners={})
 
 
@@ -106,10 +109,13 @@
 def _list_listeners(state: HostState, now: float) -> list[str]:
     """Return the monitors, the other homes of own services, and hosts out of touch."""
     own = state.identity
-    names = state.rings.get_all_monitors(own.name)
-    for service in state.services.values():
-        if service.owned:
-            names += service.placement.get_all_homes()
+    if state.settings.grants_slots:
+        names = _list_thrifty_listeners(state)
+    else:
+        names = state.rings.get_all_monitors(own.name)
+        for service in state.services.values():
+            if service.owned:
+                names += service.placement.get_all_homes()
     unheard = [
         member.name
         for member in state.members.values()
@@ -121,6 +127,21 @@
     return names
 
 
+def _list_thrifty_listeners(state: HostState) -> list[str]:
+    """Return the monitors here, and at times one in each other failure domain.
+
+    Bytes between failure domains cost most, and homes that grant slots need not tell
+    each other of their room.
+    """
+    own = state.identity
+    names = state.rings.get_monitors(own.name, own.failure_domain)
+    if state.heartbeat_sequence % FAR_HEARTBEATS == 0:
+        for domain in state.rings.points:
+            if domain != own.failure_domain:
+                names += state.rings.get_monitors(own.name, domain)[:FAR_MONITORS]
+    return names
+
+
 def _send_heartbeats(
     state: HostState, names: list[str], now: float, out: list[Effect]
 ) -> None:
@@ -153,19 +174,27 @@
         peers=own.peers,
         revision=state.intents.revision,
         leaving=is_leaving(state),
-        spare=tuple(
-            (name, count_spare(service, now))
-            for name, service in state.services.items()
-            if service.owned
-        ),
+        spare=_make_spare(state, now),
         digest=make_digest(state, now),
         up_to_date=_sample_up_to_date(state),
         servers_revision=state.registry.revision,
     )
 
 
+def _make_spare(state: HostState, now: float) -> tuple[tuple[str, int], ...]:
+    if state.settings.grants_slots:
+        return ()
+    return tuple(
+        (name, count_spare(service, now))
+        for name, service in state.services.items()
+        if service.owned
+    )
+
+
 def _sample_up_to_date(state: HostState) -> tuple[str, ...]:
     """Return a few of the hosts known to have this host's revision in force."""
+    if state.settings.grants_slots:
+        return ()
     revision = state.intents.revision
     names = [m.name for m in state.members.values() if m.revision == revision]
     return tuple(state.rng.sample(names, min(UP_TO_DATE_TOLD, len(names))))
--- a/src/siskinpier/core/dissemination.py
+++ b/src/siskinpier/core/dissemination.py
@@ -11,6 +11,7 @@
 
 from .effects import Effect, LogDecision, SendMessage
 from .members import (
+    FAR_HEARTBEATS,
     SILENCE_LIMIT_HEARTBEATS,
     Member,
     is_believed_alive,
@@ -33,6 +34,8 @@
     own = state.identity
     for member in state.members.values():
         monitors = state.rings.get_monitors(member.name, own.failure_domain)
+        if _is_heard_seldom(state, member):
+            monitors = monitors[:1]
         if own.name not in monitors:
             member.monitored_since = None
         elif member.monitored_since is None:
@@ -52,7 +55,11 @@
         return False
     if now - state.last_heard > SILENCE_LIMIT_HEARTBEATS * heartbeat_s:
         return _lose_everyone(state, now, out)
-    silent = [m for m in state.members.values() if judge_silence(m, now, heartbeat_s)]
+    silent = [
+        member
+        for member in state.members.values()
+        if judge_silence(member, now, _get_interval_s(state, member))
+    ]
     for member in silent:
         fields: dict[str, object] = {"host": member.name}
         out.append(LogDecision(event="silent", fields=fields))
@@ -60,6 +67,17 @@
     return bool(silent)
 
 
+def _is_heard_seldom(state: HostState, member: Member) -> bool:
+    """Return True for a host whose heartbeats cross failure domains, at a price."""
+    is_far = member.failure_domain != state.identity.failure_domain
+    return is_far and state.settings.grants_slots
+
+
+def _get_interval_s(state: HostState, member: Member) -> float:
+    far = FAR_HEARTBEATS if _is_heard_seldom(state, member) else 1
+    return state.settings.heartbeat_s * far
+
+
 def take_members(
     state: HostState, notice: MembersNotice, sender: str, now: float, out: list[Effect]
 ) -> bool:
--- a/src/siskinpier/core/hedging.py
+++ b/src/siskinpier/core/hedging.py
@@ -21,6 +21,8 @@
 QUANTILE_STEP: Final = 0.1
 LEAST_QUANTILE: Final = 0.5
 AGAIN_SHARE: Final = 0.25
+# Times the usual run that a late call must still need to be sent to a second server.
+LARGE_GAIN: Final = 2.0
 # Times the usual run after which the answer of a server that reports its speed is
 # taken for lost.
 LOST_AFTER: Final = 4.0
@@ -80,7 +82,8 @@
 ) -> None:
     """Send calls elsewhere too whose server just became slow, where it helps.
 
-    It helps where the call would miss its aim there and keep it elsewhere.
+    It helps where the call would miss its aim there and keep it elsewhere, or be late
+    there by much more than a whole run.
     """
     if len(service.queue) > 0:
         return
@@ -92,7 +95,10 @@
             continue
         rest_s = estimate_rest_s(service, slowed, now - attempt.started, now)
         aim = active.arrived + (active.aim_s or service.usual_s)
-        if now + rest_s <= aim or now + service.usual_s > aim:
+        if now + rest_s <= aim:
+            continue
+        is_kept_elsewhere = now + service.usual_s <= aim
+        if not is_kept_elsewhere and rest_s < LARGE_GAIN * service.usual_s:
             continue
         fast = [s for s in service.owned if not is_slow(s, now)]
         server = choose_server(fast, now, active.get_tried())
--- a/src/siskinpier/core/members.py
+++ b/src/siskinpier/core/members.py
@@ -13,6 +13,8 @@
 
 SILENCE_LIMIT_HEARTBEATS: Final = 4
 LISTED_GRACE_S: Final = 3.0
+# Heartbeats of which one goes to other failure domains, where bytes there are dear.
+FAR_HEARTBEATS: Final = 2
 VOUCHED_S: Final = 10.0
 FRESH_WORD_S: Final = 1.0
 
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -90,6 +90,7 @@
 )
 from .relays import (
     pass_on_intents,
+    start_relay,
     step_relay,
     take_lost,
     take_reached,
@@ -154,6 +155,8 @@
             take_probe(state, event, out)
         case HostsListed():
             take_hosts(state, event, out)
+            if state.settings.servers_register:
+                step_relay(state, event.now, out)
         case IntentsSeen(now=now, version=version, intents=intents):
             known = state.intents.revision
             take_intents(state, intents, version, now, out)
@@ -187,7 +190,7 @@
             state.started = now
             _beat(state, now, out)
             if state.settings.servers_register:
-                step_relay(state, now, out)
+                start_relay(state, now, out)
             else:
                 poll_intents(state, out)
             start_probes(state, now, out)
--- a/src/siskinpier/core/relays.py
+++ b/src/siskinpier/core/relays.py
@@ -25,6 +25,14 @@
 SUBSTITUTE_AFTER_S: Final = 0.8
 SUBSTITUTE_STEP_S: Final = 0.25
 LEAST_S: Final = 0.001
+# How long a fresh host waits for the list of hosts, and then for a relay's word.
+START_PATIENCE_S: Final = 0.3
+
+
+def start_relay(state: HostState, now: float, out: list[Effect]) -> None:
+    """Begin to listen for a relay; a fresh host waits for its word only shortly."""
+    state.relay.heard_at = now - SUBSTITUTE_AFTER_S + START_PATIENCE_S
+    step_relay(state, now, out)
 
 
 def step_relay(state: HostState, now: float, out: list[Effect]) -> None:
@@ -32,8 +40,10 @@
     relay = state.relay
     rank = _get_rank(state, now)
     patience_s = SUBSTITUTE_AFTER_S + SUBSTITUTE_STEP_S * (rank - 1)
+    # A host that just started knows no other, and would take itself for the first.
+    is_settled = bool(state.members) or now - state.started >= START_PATIENCE_S
     is_unheard = now - relay.heard_at > patience_s
-    watching = rank == 0 or is_unheard
+    watching = (rank == 0 and is_settled) or is_unheard
     if watching != state.watching:
         state.watching = watching
         out.append(WatchIntents(watching=watching))
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -73,17 +73,22 @@
 
     async def register(self) -> None:
         """Write this host's own object, and read those of the others."""
-        await self._repeat_until_done(self._write_own)
+        own = encode_host(self._settings)
+        is_written = False
         while True:
             listed = await self._store.list_all(HOSTS_KIND, may_be_stale=True)
-            if isinstance(listed, ObjectList):
-                hosts = [decode_host(item.name, item.spec) for item in listed.items]
-                known = tuple(h for h in hosts if not isinstance(h, Unreadable))
-                shell = self._shell
-                shell.handle(HostsListed(now=shell.clock(), hosts=known))
-                await anyio.sleep(HOSTS_POLL_S * random.uniform(0.8, 1.2))
-            else:
+            if isinstance(listed, Unavailable):
                 await anyio.sleep(RETRY_LONGEST_S * random.uniform(0.5, 1.0))
+                continue
+            hosts = [decode_host(item.name, item.spec) for item in listed.items]
+            known = tuple(h for h in hosts if not isinstance(h, Unreadable))
+            shell = self._shell
+            shell.handle(HostsListed(now=shell.clock(), hosts=known))
+            specs = {item.name: item.spec for item in listed.items}
+            if not is_written and specs.get(self._settings.name) != own:
+                await self._repeat_until_done(self._write_own)
+            is_written = True
+            await anyio.sleep(HOSTS_POLL_S * random.uniform(0.8, 1.2))
 
     async def _write_own(self) -> bool:
         store, name = self._store, self._settings.name
