Refuse what waits in vain while its caller can still come back

Change: a call that cannot keep its aim is refused when the rate of ending calls leaves it no chance, and at the latest when half its time is over; the refusal tells when to come back, and other homes are not asked once it waited.

--- a/src/siskinpier/core/attempts.py
+++ b/src/siskinpier/core/attempts.py
@@ -4,13 +4,21 @@
 
 from .balance import ServerRuntime
 from .calls import ActiveCall, Attempt, Grant, Stage
-from .effects import AbandonAttempt, Effect, LogDecision, SendAttempt, SendMessage
+from .effects import (
+    AbandonAttempt,
+    Effect,
+    LogDecision,
+    SendAttempt,
+    SendMessage,
+    SetTimer,
+)
 from .forwarding import note_forward
 from .health import record_failure
 from .members import Member
 from .messages import SlotEnd, SlotGrant, SlotUse
 from .slot_requests import drop_asks
 from .state import HostState, ServiceRuntime
+from .timers import CallDeadline
 from .verdict import AttemptFailure
 from .waiting import FORWARD_MARGIN_S
 
@@ -35,6 +43,10 @@
     )
     active.stage = Stage.SENT
     drop_asks(active, out)
+    if active.has_waiting_bound:
+        active.has_waiting_bound = False
+        timer = CallDeadline(call_id=active.call.call_id)
+        out.append(SetTimer(timer=timer, at=active.call.deadline))
     server.in_flight += 1
     _log_route(active, server, reason, now, out)
     if active.holder:
--- a/src/siskinpier/core/calls.py
+++ b/src/siskinpier/core/calls.py
@@ -138,6 +138,8 @@
     is_queued_there: bool = False
     # Bytes of the request, and of the reply that is expected.
     size: float = 0.0
+    # Its timer stands for the end of waiting, not for its deadline.
+    has_waiting_bound: bool = False
     # Until then the call does not settle for a slow server.
     slow_from: float = 0.0
     refused_by: set[str] = field(default_factory=set)
--- a/src/siskinpier/core/dispatch.py
+++ b/src/siskinpier/core/dispatch.py
@@ -9,7 +9,7 @@
     is_hopeless,
     is_too_late,
 )
-from .attempts import forward, send
+from .attempts import abandon, forward, send
 from .balance import ServerRuntime, choose_server, has_room, has_tried_all, is_draining
 from .calls import ActiveCall, Stage
 from .candidates import (
@@ -28,9 +28,11 @@
 from .refusals import forget, refuse
 from .slot_requests import ask_slot, ask_spare
 from .state import HostState, ServiceRuntime
-from .timers import PatienceDue
+from .timers import CallDeadline, PatienceDue
 
 OVERTAKEN_LIMIT: Final = 8
+# Part of its time after which a call that still waits is refused.
+WAITING_PART: Final = 0.5
 
 
 def place_call(
@@ -92,7 +94,7 @@
     # A host that lost its servers to another owner still answers what it queued.
     servers = service.owned or list(service.servers.values())
     while len(service.queue) > 0 and any(has_room(s, now) for s in servers):
-        found = _find_next(state, service, servers, now)
+        found = _find_next(state, service, servers, now, out)
         if found is None:
             break
         active, server = found
@@ -142,12 +144,13 @@
     service: ServiceRuntime,
     servers: list[ServerRuntime],
     now: float,
+    out: list[Effect],
 ) -> tuple[ActiveCall, ServerRuntime] | None:
     """Return the first waiting call that a server with room may take.
 
     A call that avoids the servers it tried holds up no call behind it.
     """
-    _put_late_calls_last(state, service, now)
+    _put_late_calls_last(state, service, now, out)
     for call_id in service.queue.get_call_ids(last=OVERTAKEN_LIMIT):
         active = state.calls[call_id]
         server = choose_among(service, servers, active, now)
@@ -156,15 +159,42 @@
     return None
 
 
-def _put_late_calls_last(state: HostState, service: ServiceRuntime, now: float) -> None:
-    """Move first calls that cannot keep their aim behind those that can."""
+def give_up_waiting(
+    state: HostState,
+    service: ServiceRuntime,
+    active: ActiveCall,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Refuse a call that waited in vain, while its caller can still come back."""
+    abandon(state, active, out)
+    forget(state, active, out)
+    _refuse_overloaded(service, active, now, out)
+
+
+def _get_waiting_bound(active: ActiveCall) -> float:
+    """Return the time at which a call that still waits is refused."""
+    half = active.arrived + WAITING_PART * (active.call.deadline - active.arrived)
+    return min(active.call.deadline, max(active.arrived + active.aim_s, half))
+
+
+def _put_late_calls_last(
+    state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
+) -> None:
+    """Move first calls that cannot keep their aim behind those that can.
+
+    Those that are not likely to be answered at all are refused.
+    """
     while (call_id := service.queue.peek()) is not None:
         active = state.calls[call_id]
         entry = active.queue_entry
         if entry is None or entry[1] or not active.is_late(service.usual_s, now):
             return
         service.queue.remove(active)
-        service.queue.push(active, is_late=True)
+        if is_hopeless(service, active, now):
+            give_up_waiting(state, service, active, now, out)
+        else:
+            service.queue.push(active, is_late=True)
 
 
 def _get_wait_s(service: ServiceRuntime, active: ActiveCall, now: float) -> float:
@@ -238,9 +268,14 @@
 ) -> None:
     active.stage = Stage.QUEUED
     service.queue.push(active, is_late=active.is_late(service.usual_s, now))
+    if active.aim_s > 0.0:
+        # Refused once half its time is over and its aim missed; see `send`.
+        active.has_waiting_bound = True
+        bound = CallDeadline(call_id=active.call.call_id)
+        out.append(SetTimer(timer=bound, at=_get_waiting_bound(active)))
     if active.slow_from > now:
-        timer = PatienceDue(service=active.call.service)
-        out.append(SetTimer(timer=timer, at=active.slow_from))
+        patience = PatienceDue(service=active.call.service)
+        out.append(SetTimer(timer=patience, at=active.slow_from))
     out.append(
         LogDecision(
             event="queue",
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -221,10 +221,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SlotRefusal:
-    """The home gives the call no slot."""
+    """The home gives no slot; with `is_final` the call waited there in vain."""
 
     call: str
     ask: int
+    is_final: bool
     title: str
     detail: str
     retry_after_s: float | None
--- a/src/siskinpier/core/refusals.py
+++ b/src/siskinpier/core/refusals.py
@@ -36,6 +36,7 @@
     message = SlotRefusal(
         call=active.holders_id,
         ask=active.ask,
+        is_final=active.queue_entry is not None or active.has_waiting_bound,
         title=problem.title,
         detail=problem.detail,
         retry_after_s=problem.retry_after_s,
--- a/src/siskinpier/core/routing.py
+++ b/src/siskinpier/core/routing.py
@@ -5,7 +5,7 @@
 from .attempts import abandon, note_late
 from .calls import ActiveCall, Stage
 from .claims import has_valid_key, needs_claim, start_claim
-from .dispatch import drain_queue, place_call
+from .dispatch import drain_queue, give_up_waiting, place_call
 from .effects import CutReply, Effect, LogDecision, SetTimer
 from .events import CallArrived, CallCancelled
 from .intents import Route, get_rule
@@ -152,6 +152,11 @@
         timer = CallDeadline(call_id=call_id)
         out.append(SetTimer(timer=timer, at=active.relayed_from + RELAY_GRACE_S))
         return
+    is_waiting = active.stage is Stage.QUEUED and now < active.call.deadline
+    if is_waiting and service is not None:
+        give_up_waiting(state, service, active, now, out)
+        drain_queue(state, service, now, out)
+        return
     attempt = active.attempt
     if service is not None and attempt is not None and active.stage is Stage.SENT:
         note_late(service, attempt, now, out)
--- a/src/siskinpier/core/slots.py
+++ b/src/siskinpier/core/slots.py
@@ -233,7 +233,8 @@
         if service is not None:
             ask_spare(state, service, active, now, out)
         return
-    if service is not None and ask_slot(state, service, active, now, out):
+    may_ask = service is not None and not message.is_final
+    if may_ask and service and ask_slot(state, service, active, now, out):
         return
     problem = Problem(
         status=503,
