Hold lapsed entries from the platform's return on, not from when each is seen

Hosts were turned away with 429 at the time; a relay that had just regained the store held the removal for 2.5 s more, as if the entry had lapsed in an outage that had ended long before.

Change: entries are held until 1.6 s after the platform's return. The test of a server that leaves 1.5 s after the return failed before and passes.

--- a/src/siskinpier/core/registry.py
+++ b/src/siskinpier/core/registry.py
@@ -19,8 +19,10 @@
 from .state import HostState
 from .timers import LapseDue
 
-# Time for a server that lapsed during an outage to come back, seconds.
-LAPSE_GRACE_S: Final = 2.5
+# Time after an outage for servers whose entries lapsed in it to write them again,
+# seconds. A little less than the two that they may take, as one that left in truth must
+# get no calls two seconds after its entry went.
+LAPSE_GRACE_S: Final = 1.6
 # Declared to have this many connections until the configuration says more.
 DEFAULT_CONNECTIONS: Final = 250
 
@@ -151,7 +153,8 @@
     is_after_outage = now - relay.regained_at <= LAPSE_GRACE_S
     if relay.lost_at is None and not is_after_outage:
         return list(gone)
-    at = now + LAPSE_GRACE_S
+    returned_at = now if relay.lost_at is not None else relay.regained_at
+    at = returned_at + LAPSE_GRACE_S
     lapsed = state.registry.lapsed
     dropped = []
     for name in gone:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -108,6 +108,18 @@
         world.run_for(3.0)
         assert all(list_known(world, host) == ["s1"] for host in HOSTS)
 
+    def test_server_that_leaves_after_the_outage_gets_no_calls_for_long(self) -> None:
+        # Its entry goes 1.5 s after the platform's return; a drain must be known in 2 s.
+        world = make_world()
+        relay = find_relay(world)
+        world.handle(relay, PlatformLost(now=world.now, reason="busy"))
+        world.handle(relay, PlatformReached(now=world.now))
+        world.run_for(1.5)
+        event = ServersChanged(now=world.now, revision=9, servers=(), gone=("s0",))
+        world.handle(relay, event)
+        world.run_for(0.2)
+        assert all(list_known(world, host) == ["s1"] for host in HOSTS)
+
     def test_server_that_comes_back_stays(self) -> None:
         world = make_world()
         relay = find_relay(world)
