Leave the last slot free where servers finish more without it

Ruled out: the choice among servers (a third slot was often all that was left).

Change: homes follow both medians and keep the last slot of a service's servers free while slots x usual < (slots - 1) x full, trying it again a second a minute. The rate of ends bounds waiting only once a queue stood for a second.

--- a/src/siskinpier/core/attempts.py
+++ b/src/siskinpier/core/attempts.py
@@ -48,6 +48,7 @@
         timer = CallDeadline(call_id=active.call.call_id)
         out.append(SetTimer(timer=timer, at=active.call.deadline))
     server.in_flight += 1
+    active.attempts[-1].was_full = server.in_flight >= server.intent.slots
     _log_route(active, server, reason, now, out)
     if active.holder:
         message = SlotGrant(
--- a/src/siskinpier/core/calls.py
+++ b/src/siskinpier/core/calls.py
@@ -101,6 +101,8 @@
     started: float
     has_failed: bool = False
     is_unreachable: bool = False
+    # Took the last slot of its server.
+    was_full: bool = False
     grant: Grant | None = None
     # The time that the answer took, once it is whole.
     latency_s: float | None = None
--- a/src/siskinpier/core/dispatch.py
+++ b/src/siskinpier/core/dispatch.py
@@ -267,6 +267,8 @@
     service: ServiceRuntime, active: ActiveCall, now: float, out: list[Effect]
 ) -> None:
     active.stage = Stage.QUEUED
+    if len(service.queue) == 0:
+        service.queued_since = now
     service.queue.push(active, is_late=active.is_late(service.usual_s, now))
     if active.aim_s > 0.0:
         # Refused once half its time is over and its aim missed; see `send`.
--- a/src/siskinpier/core/probing.py
+++ b/src/siskinpier/core/probing.py
@@ -5,6 +5,7 @@
 from .balance import ServerRuntime, is_draining, is_ejected
 from .effects import Effect, LogDecision, SendProbe, SetTimer
 from .events import ProbeAnswered
+from .full_servers import refresh_full_limits
 from .health import record_probe
 from .limits import refresh_limits
 from .probe_budget import note_probe_bytes, refresh_bucket
@@ -28,7 +29,7 @@
     """Spend the probe budget on the owned servers that it matters most for."""
     if state.settings.grants_slots:
         for service in state.services.values():
-            refresh_limits(service)
+            refresh_full_limits(service, now)
             _refresh_reports(state, service, now, out)
         out.append(SetTimer(timer=ProbesDue(), at=now + REPORT_STEP_S))
         return
--- a/src/siskinpier/core/replies.py
+++ b/src/siskinpier/core/replies.py
@@ -7,6 +7,7 @@
 from .dispatch import drain_queue
 from .effects import CutReply, Effect, LogDecision, RelayReply
 from .events import AttemptFailed, ReplyFinished, ReplyStarted
+from .full_servers import learn_run
 from .health import record_success
 from .hedging import drop_rival, fall_back_to_rival, learn_hedge_time
 from .problems import make_attempt_failed
@@ -14,7 +15,6 @@
 from .retrying import note_verdict, try_again
 from .server_marks import note_server_leaving
 from .speed_changes import take_speed
-from .speeds import learn_usual_time
 from .state import HostState
 from .verdict import AttemptFailure, Verdict, get_failure_verdict, get_reply_verdict
 
@@ -97,7 +97,7 @@
             record_success(server, latency_s, event.now)
             learn_service_time(service, latency_s)
             learn_hedge_time(service, latency_s)
-            learn_usual_time(service, latency_s)
+            learn_run(service, latency_s, was_full=attempt.was_full)
     drain_queue(state, service, event.now, out)
 
 
--- a/src/siskinpier/core/slots.py
+++ b/src/siskinpier/core/slots.py
@@ -14,6 +14,7 @@
 from .crossing import is_crossing_worth
 from .dispatch import drain_queue, place_call
 from .effects import Effect, LogDecision, SendMessage, SetTimer
+from .full_servers import learn_run
 from .health import record_success
 from .hedging import learn_hedge_time
 from .members import Member
@@ -29,7 +30,7 @@
 from .refusals import forget, refuse
 from .slot_requests import DOUBT_S, ask_slot, ask_spare, drop_asks, withdraw
 from .speed_changes import take_speed
-from .speeds import is_slow, learn_usual_time
+from .speeds import is_slow
 from .state import HostState, ServiceRuntime
 from .timers import CallDeadline, SlotDue
 from .verdict import AttemptFailure, Problem
@@ -346,7 +347,7 @@
             record_success(server, message.latency_s, now)
             learn_service_time(service, message.latency_s)
             learn_hedge_time(service, message.latency_s)
-            learn_usual_time(service, message.latency_s)
+            learn_run(service, message.latency_s, was_full=attempt.was_full)
         case SlotUse.FAILED:
             note_failure(service, attempt, now, out)
         case SlotUse.UNREACHABLE:
--- a/src/siskinpier/core/speeds.py
+++ b/src/siskinpier/core/speeds.py
@@ -73,10 +73,9 @@
     return min(work_s * slowdown, SLOW_LASTS_S + work_s)
 
 
-def learn_usual_time(service: ServiceRuntime, latency_s: float) -> None:
-    """Follow the median of run times, which slow spells hardly move."""
-    if service.usual_s == 0.0:
-        service.usual_s = latency_s
-        return
-    step_s = MEDIAN_STEP * service.usual_s
-    service.usual_s += step_s if latency_s > service.usual_s else -step_s
+def follow_median(median_s: float, latency_s: float) -> float:
+    """Return a median of run times after another one; slow spells hardly move it."""
+    if median_s == 0.0:
+        return latency_s
+    step_s = MEDIAN_STEP * median_s
+    return median_s + (step_s if latency_s > median_s else -step_s)
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -87,10 +87,16 @@
         default_factory=lambda: TokenBucket(rate=0.0, capacity=1.0)
     )
     service_time_s: float = 0.0
+    # When a queue last began to form.
+    queued_since: float = 0.0
     # Calls that ended, here and at their holders.
     ends: RateMeter = field(default_factory=lambda: RateMeter(memory_s=ENDS_MEMORY_S))
-    # Median of the run times of calls, seconds.
+    # Medians of the run times of calls, seconds: of those that left a slot of their
+    # server free, and of those that took the last one; and how many were seen.
     usual_s: float = 0.0
+    usual_runs: int = 0
+    full_s: float = 0.0
+    full_runs: int = 0
     probe_bytes: float = 0.0
     ranked_names: tuple[str, ...] = ()
     ranked_hosts: list[str] = field(default_factory=list)
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -112,6 +112,8 @@
     work_s: float = 0.1
     slowdown: float = 1.0
     status: int = 200
+    # Times longer that work takes which starts in the last slot or beside it.
+    knee: float = 1.0
     # Leaves probes and calls without an answer.
     is_silent: bool = False
     # Neighbours that slow it in spells; None for none.
@@ -131,6 +133,8 @@
     def get_run_s(self, call_id: str, now: float) -> float:
         """Return how long a call takes that starts now."""
         work_s = self.work_s * self.slowdown
+        if self.running >= self.slots:
+            work_s *= self.knee
         if self.neighbours is None:
             return work_s
         return self.neighbours.stretch(work_s * vary(call_id), now)
