--- a/bench/claims_cost.py
+++ b/bench/claims_cost.py
@@ -10,12 +10,16 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from siskinpier.core.calls import Call
-from siskinpier.core.claim_messages import KeptReply
-from siskinpier.core.claim_store import Entry, encode_entries
+from siskinpier.core.claims.messages import KeptReply
+from siskinpier.core.claims.store import Entry, encode_entries
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    RoutingIntents,
+    ServiceIntent,
+)
 from siskinpier.core.effects import Effect, LogDecision, WriteObject
 from siskinpier.core.events import Event
-from siskinpier.core.intents import BackendServer, RoutingIntents, ServiceIntent
+from siskinpier.core.routing.calls import Call
 
 from .virtual import World
 from .virtual.deployment import make_deployment
--- a/bench/cluster_costs.py
+++ b/bench/cluster_costs.py
@@ -9,13 +9,13 @@
 from dataclasses import dataclass
 from typing import Final
 
-from siskinpier.core.intents import (
+from siskinpier.core.configuration.intents import (
     BackendServer,
     RoutingIntents,
     ServerState,
     ServiceIntent,
 )
-from siskinpier.core.orders import OrderResult, SetServerState
+from siskinpier.core.configuration.orders import OrderResult, SetServerState
 
 from .virtual import VirtualHost, World
 from .virtual.deployment import make_deployment
--- a/bench/core_costs.py
+++ b/bench/core_costs.py
@@ -9,7 +9,12 @@
 from dataclasses import asdict
 from typing import Final
 
-from siskinpier.core.calls import Call
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    CallRule,
+    RoutingIntents,
+    ServiceIntent,
+)
 from siskinpier.core.events import (
     CallArrived,
     HostStarted,
@@ -18,14 +23,9 @@
     ReplyFinished,
     ReplyStarted,
 )
-from siskinpier.core.intents import (
-    BackendServer,
-    CallRule,
-    RoutingIntents,
-    ServiceIntent,
-)
 from siskinpier.core.messages import Heartbeat, IntentsNotice
 from siskinpier.core.reducer import reduce
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.state import CoreSettings, HostIdentity, HostState, make_state
 from siskinpier.edge.codec import decode_message, encode_message
 from siskinpier.settings.documents import Rejected, parse_intents
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -11,16 +11,16 @@
 import numpy as np
 
 from bench.virtual.deployment import make_deployment
-from siskinpier.core.calls import ActiveCall, Call
-from siskinpier.core.candidates import choose_owned
-from siskinpier.core.events import CallArrived, CallCancelled
-from siskinpier.core.intents import (
+from siskinpier.core.configuration.intents import (
     BackendServer,
     CallRule,
     RoutingIntents,
     ServiceIntent,
 )
+from siskinpier.core.events import CallArrived, CallCancelled
 from siskinpier.core.reducer import reduce
+from siskinpier.core.routing.calls import ActiveCall, Call
+from siskinpier.core.routing.candidates import choose_owned
 from siskinpier.core.state import HostState
 
 SIZES: Final = (20, 100, 400, 1300)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,7 +13,11 @@
 
 import httpx
 
-from siskinpier.core.intents import BackendServer, RoutingIntents, ServiceIntent
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    RoutingIntents,
+    ServiceIntent,
+)
 from siskinpier.settings.documents import Rejected, load_intents
 from tests.standins.process import StandIn
 
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -19,7 +19,11 @@
 
 import uvloop
 
-from siskinpier.core.intents import BackendServer, RoutingIntents, ServiceIntent
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    RoutingIntents,
+    ServiceIntent,
+)
 from tests.standins.process import StandIn
 
 from .fleet import Fleet
--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -15,8 +15,12 @@
 
 import fire
 
-from siskinpier.core.intents import RoutingIntents, ServerState
-from siskinpier.core.orders import OrderResult, OrderStatus, SetServerState
+from siskinpier.core.configuration.intents import RoutingIntents, ServerState
+from siskinpier.core.configuration.orders import (
+    OrderResult,
+    OrderStatus,
+    SetServerState,
+)
 from siskinpier.core.verdict import Verdict
 
 from .fleet import load_example
--- a/bench/policies/baselines.py
+++ b/bench/policies/baselines.py
@@ -14,7 +14,7 @@
 from bench.virtual import Answer, VirtualServer, World
 from bench.virtual.host import CALLER_DELAY_S
 from bench.virtual.servers import ServerReply, Work
-from siskinpier.core.calls import Call
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import AttemptFailure, Verdict
 
 
--- a/bench/process_costs.py
+++ b/bench/process_costs.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Final
 
-from siskinpier.core.intents import RoutingIntents
+from siskinpier.core.configuration.intents import RoutingIntents
 
 from .fleet import Fleet, load_example
 from .slopes import Slope, fit_slope, render_table
--- a/bench/settings_page.py
+++ b/bench/settings_page.py
@@ -14,7 +14,7 @@
 
 from annotated_types import Ge, Gt, Le, Len
 
-from siskinpier.core.intents import RoutingIntents
+from siskinpier.core.configuration.intents import RoutingIntents
 from siskinpier.settings.host import HostSettings
 
 PAGE: Final = Path(__file__).resolve().parents[1] / "docs" / "SETTINGS.md"
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -13,14 +13,14 @@
 from bench.policies import BaselineHost, Policy
 from bench.virtual import Answer, VirtualServer, World
 from bench.virtual.deployment import list_domains, make_deployment, make_server
-from siskinpier.core.addresses import get_addresses
-from siskinpier.core.calls import Call
-from siskinpier.core.intents import (
+from siskinpier.core.configuration.intents import (
     BackendServer,
     CallRule,
     RoutingIntents,
     ServiceIntent,
 )
+from siskinpier.core.routing.addresses import get_addresses
+from siskinpier.core.routing.calls import Call
 
 HOSTS: Final = 18
 MEAN_S: Final = 0.01
--- a/bench/virtual/callers.py
+++ b/bench/virtual/callers.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from siskinpier.core.addresses import get_addresses
-from siskinpier.core.calls import Call
+from siskinpier.core.routing.addresses import get_addresses
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import Verdict
 
 from .world import Answer, World
--- a/bench/virtual/deployment.py
+++ b/bench/virtual/deployment.py
@@ -3,8 +3,8 @@
 from dataclasses import asdict
 from typing import Final
 
-from siskinpier.core.configuration import INTENTS_NAME
-from siskinpier.core.intents import BackendServer, RoutingIntents
+from siskinpier.core.configuration.intents import BackendServer, RoutingIntents
+from siskinpier.core.configuration.updates import INTENTS_NAME
 from siskinpier.core.platform_results import HOSTS, ROUTING_INTENTS
 
 from .host import VirtualHost
--- a/bench/virtual/host.py
+++ b/bench/virtual/host.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
-from siskinpier.core.calls import Call
-from siskinpier.core.claim_messages import KeptReply
-from siskinpier.core.configuration import INTENTS_NAME
+from siskinpier.core.claims.messages import KeptReply
+from siskinpier.core.configuration.intents import RoutingIntents
+from siskinpier.core.configuration.orders import Order, OrderResult
+from siskinpier.core.configuration.updates import INTENTS_NAME
 from siskinpier.core.effects import (
     AbandonAttempt,
     AnswerOrder,
@@ -45,8 +46,6 @@
     ReplyStarted,
     TimerFired,
 )
-from siskinpier.core.intents import RoutingIntents
-from siskinpier.core.orders import Order, OrderResult
 from siskinpier.core.platform_results import (
     HOSTS,
     ROUTING_INTENTS,
@@ -56,6 +55,7 @@
     Unavailable,
 )
 from siskinpier.core.reducer import reduce
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.state import (
     CoreSettings,
     HostIdentity,
--- a/bench/virtual/payments.py
+++ b/bench/virtual/payments.py
@@ -9,11 +9,15 @@
 from enum import StrEnum, unique
 from typing import Final
 
-from siskinpier.core.calls import Call
-from siskinpier.core.claim_flow import NOT_LOOKED_UP
+from siskinpier.core.claims.flow import NOT_LOOKED_UP
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    RoutingIntents,
+    ServiceIntent,
+)
 from siskinpier.core.effects import Effect, RefuseCall
 from siskinpier.core.events import Event
-from siskinpier.core.intents import BackendServer, RoutingIntents, ServiceIntent
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import Verdict
 
 from .deployment import make_deployment
--- a/bench/virtual/servers.py
+++ b/bench/virtual/servers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from siskinpier.core.calls import Call
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import AttemptFailure
 
 if TYPE_CHECKING:
--- a/bench/virtual/world.py
+++ b/bench/virtual/world.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from siskinpier.core.calls import Call
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/src/siskinpier/core/claim_commits.py
+++ b/src/siskinpier/core/claims/commits.py
@@ -3,13 +3,18 @@
 from dataclasses import replace
 from typing import Final
 
-from .claim_messages import (
+from ..effects import Effect, LogDecision, WriteObject
+from ..platform_results import (
+    CLAIMS,
+)
+from ..state import HostState
+from .messages import (
     ClaimEnd,
     ClaimRequest,
 )
-from .claim_replies import acknowledge, grant_claim
-from .claim_requests import get_object_name, start_request, wake
-from .claim_segments import (
+from .replies import acknowledge, grant_claim
+from .requests import get_object_name, start_request, wake
+from .segments import (
     SEAL_BYTES,
     Sealing,
     choose_settled,
@@ -19,22 +24,17 @@
     get_slot_name,
     make_segment,
 )
-from .claim_shard import (
+from .shard import (
     apply_change,
     count_bytes,
     drop_expired,
     make_grant,
 )
-from .claim_state import Shard
-from .claim_store import (
+from .state import Shard
+from .store import (
     SHARDS,
     get_owner,
 )
-from .effects import Effect, LogDecision, WriteObject
-from .platform_results import (
-    CLAIMS,
-)
-from .state import HostState
 
 CLAIM_WRITE_SHARE: Final = 0.8
 MIN_WAKE_S: Final = 0.001
--- a/src/siskinpier/core/claim_flow.py
+++ b/src/siskinpier/core/claims/flow.py
@@ -5,8 +5,21 @@
 as MAY_HAVE_RUN.
 """
 
-from .calls import Stage
-from .claim_messages import (
+from ..effects import ClearTimer, Effect, RefuseCall, RelayReply, ReplayReply
+from ..events import Event, ReplyFinished, TimerFired
+from ..problems import (
+    make_claim_unavailable,
+    make_key_mismatch,
+    make_key_seen,
+    make_owner_silent,
+)
+from ..routing.arrivals import finish_claiming, place_claimed
+from ..routing.calls import Stage
+from ..state import HostState
+from ..timers import CallDeadline, HeartbeatDue
+from ..verdict import Problem, Verdict
+from .holder import end_claim, take_claim_reply, take_end_ack
+from .messages import (
     ClaimEnd,
     ClaimEndAck,
     ClaimMessage,
@@ -15,21 +28,8 @@
     ClaimRequest,
     KeptReply,
 )
-from .claim_owner import answer_orphans, take_end, take_request
-from .claim_state import ClaimDecision, HeldClaim
-from .claims import end_claim, take_claim_reply, take_end_ack
-from .effects import ClearTimer, Effect, RefuseCall, RelayReply, ReplayReply
-from .events import Event, ReplyFinished, TimerFired
-from .problems import (
-    make_claim_unavailable,
-    make_key_mismatch,
-    make_key_seen,
-    make_owner_silent,
-)
-from .routing import finish_claiming, place_claimed
-from .state import HostState
-from .timers import CallDeadline, HeartbeatDue
-from .verdict import Problem, Verdict
+from .owner import answer_orphans, take_end, take_request
+from .state import ClaimDecision, HeldClaim
 
 RETRY_DOWN_S = 1.0
 RETRY_FULL_S = 30.0
--- a/src/siskinpier/core/claims.py
+++ b/src/siskinpier/core/claims/holder.py
@@ -7,8 +7,12 @@
 
 from typing import Final
 
-from .calls import ActiveCall, Stage
-from .claim_messages import (
+from ..effects import ClearTimer, Effect, SendMessage, SetTimer
+from ..routing.calls import ActiveCall, Stage
+from ..state import HostState
+from ..timers import ClaimEndsDue, ClaimRetry
+from ..verdict import Verdict
+from .messages import (
     ClaimEnd,
     ClaimEndAck,
     ClaimEnding,
@@ -18,12 +22,8 @@
     ClaimRequest,
     KeptReply,
 )
-from .claim_state import ClaimDecision, HeldClaim, Undelivered, remember
-from .claim_store import get_owner, get_shard, make_claim_id
-from .effects import ClearTimer, Effect, SendMessage, SetTimer
-from .state import HostState
-from .timers import ClaimEndsDue, ClaimRetry
-from .verdict import Verdict
+from .state import ClaimDecision, HeldClaim, Undelivered, remember
+from .store import get_owner, get_shard, make_claim_id
 
 KEY_LIMIT_CHARACTERS: Final = 255
 ASK_AGAIN_S: Final = 0.4
--- a/src/siskinpier/core/claim_judging.py
+++ b/src/siskinpier/core/claims/judging.py
@@ -2,35 +2,35 @@
 
 from typing import Final
 
-from .claim_messages import (
+from ..effects import Effect, LogDecision
+from ..state import HostState
+from .messages import (
     ClaimEnd,
     ClaimEnding,
     ClaimOutcome,
     ClaimRequest,
 )
-from .claim_replies import (
+from .replies import (
     acknowledge,
     grant_claim,
     is_holder_live,
     refuse_unclaimed,
     reply_to,
 )
-from .claim_requests import PLATFORM_SLOW_S, read_shard, wake
-from .claim_shard import (
+from .requests import PLATFORM_SLOW_S, read_shard, wake
+from .shard import (
     count_bytes,
     find_entry,
     make_room,
     settle_entry,
 )
-from .claim_state import Holder, Pending, Shard, remember
-from .claim_store import (
+from .state import Holder, Pending, Shard, remember
+from .store import (
     ENTRY_BYTES,
     OBJECT_LIMIT_BYTES,
     Entry,
     EntryState,
 )
-from .effects import Effect, LogDecision
-from .state import HostState
 
 DOWN_S: Final = 0.5
 SETTLE_DELAY_S: Final = 5.0
--- a/src/siskinpier/core/claim_owner.py
+++ b/src/siskinpier/core/claims/owner.py
@@ -11,16 +11,28 @@
 
 from typing import Final
 
-from .claim_commits import MIN_WAKE_S, confirm, flush, write_slot
-from .claim_judging import consider_end, consider_request, reconsider, turn_away
-from .claim_messages import (
+from ..effects import Effect, LogDecision, ReadObject
+from ..events import ObjectRead, ObjectWritten
+from ..platform_results import (
+    CLAIMS,
+    Conflicted,
+    Missing,
+    Stored,
+    Unavailable,
+    Unknown,
+    Written,
+)
+from ..state import HostState
+from .commits import MIN_WAKE_S, confirm, flush, write_slot
+from .judging import consider_end, consider_request, reconsider, turn_away
+from .messages import (
     ClaimEnd,
     ClaimOutcome,
     ClaimRequest,
 )
-from .claim_replies import is_holder_live, refuse_unclaimed, reply_to
-from .claim_requests import PLATFORM_SLOW_S, read_shard, start_request, wake
-from .claim_segments import (
+from .replies import is_holder_live, refuse_unclaimed, reply_to
+from .requests import PLATFORM_SLOW_S, read_shard, start_request, wake
+from .segments import (
     SLOTS,
     Loading,
     Sealing,
@@ -30,28 +42,16 @@
     is_free,
     make_segment,
 )
-from .claim_shard import (
+from .shard import (
     list_sealed,
     make_grant,
     merge_loaded,
     merge_loading,
 )
-from .claim_state import Pending, Shard
-from .claim_store import (
+from .state import Pending, Shard
+from .store import (
     decode_entries,
 )
-from .effects import Effect, LogDecision, ReadObject
-from .events import ObjectRead, ObjectWritten
-from .platform_results import (
-    CLAIMS,
-    Conflicted,
-    Missing,
-    Stored,
-    Unavailable,
-    Unknown,
-    Written,
-)
-from .state import HostState
 
 WAIT_LIMIT_S: Final = 2.5
 SEAL_AGAIN_S: Final = 5.0
--- a/src/siskinpier/core/claim_replies.py
+++ b/src/siskinpier/core/claims/replies.py
@@ -1,16 +1,16 @@
 """What a shard's owner tells the hosts that ask for claims."""
 
-from .claim_messages import (
+from ..cluster.members import is_believed_alive
+from ..effects import Effect, LogDecision, SendMessage
+from ..state import HostState
+from .messages import (
     ClaimEndAck,
     ClaimOutcome,
     ClaimReply,
     ClaimRequest,
     KeptReply,
 )
-from .claim_state import Holder, Pending, Shard, remember
-from .effects import Effect, LogDecision, SendMessage
-from .members import is_believed_alive
-from .state import HostState
+from .state import Holder, Pending, Shard, remember
 
 
 def grant_claim(
--- a/src/siskinpier/core/claim_requests.py
+++ b/src/siskinpier/core/claims/requests.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from .claim_state import Shard
-from .effects import Effect, ReadObject, SetTimer
-from .platform_results import (
+from ..effects import Effect, ReadObject, SetTimer
+from ..platform_results import (
     CLAIMS,
 )
-from .state import HostState
-from .timers import ClaimsDue
+from ..state import HostState
+from ..timers import ClaimsDue
+from .state import Shard
 
 # A platform that takes longer for one call counts as down for new claims.
 PLATFORM_SLOW_S: Final = 0.5
--- a/src/siskinpier/core/claim_segments.py
+++ b/src/siskinpier/core/claims/segments.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from .claim_store import Entry, EntryState, decode_entries, encode_entries
+from .store import Entry, EntryState, decode_entries, encode_entries
 
 SEAL_BYTES: Final = 100_000
 SLOTS: Final = 256
--- a/src/siskinpier/core/claim_shard.py
+++ b/src/siskinpier/core/claims/shard.py
@@ -5,17 +5,17 @@
 
 import xxhash
 
-from .claim_messages import ClaimEnd, ClaimEnding, ClaimRequest
-from .claim_segments import Loading, drop_sealed
-from .claim_state import Pending, Shard
-from .claim_store import (
+from ..state import HostState
+from .messages import ClaimEnd, ClaimEnding, ClaimRequest
+from .segments import Loading, drop_sealed
+from .state import Pending, Shard
+from .store import (
     ENTRY_BYTES,
     OBJECT_LIMIT_BYTES,
     STORED_REPLY_LIMIT_BYTES,
     Entry,
     EntryState,
 )
-from .state import HostState
 
 # Replies over the small limit are kept in memory only, this many a shard.
 LARGE_REPLIES_KEPT: Final = 64
--- a/src/siskinpier/core/claim_state.py
+++ b/src/siskinpier/core/claims/state.py
@@ -3,18 +3,18 @@
 from dataclasses import dataclass, field
 from typing import Final, TypeVar
 
-from .budgets import TokenBucket
-from .calls import ActiveCall
-from .claim_messages import (
+from ..routing.budgets import TokenBucket
+from ..routing.calls import ActiveCall
+from ..verdict import Verdict
+from .messages import (
     ClaimEnd,
     ClaimMessage,
     ClaimOutcome,
     ClaimRequest,
     KeptReply,
 )
-from .claim_segments import Loading, Sealing, Segment
-from .claim_store import Entry
-from .verdict import Verdict
+from .segments import Loading, Sealing, Segment
+from .store import Entry
 
 REMEMBERED_CALLS: Final = 4096
 WRITE_BURST: Final = 8.0
--- a/src/siskinpier/core/claim_store.py
+++ b/src/siskinpier/core/claims/store.py
@@ -9,8 +9,8 @@
 
 import xxhash
 
-from .claim_messages import KeptReply
-from .rendezvous import pick_node
+from ..cluster.rendezvous import pick_node
+from .messages import KeptReply
 
 SHARDS: Final = 64
 # The platform holds values up to 1 MiB; this leaves room for the frame.
--- /dev/null
+++ b/src/siskinpier/core/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Acting as one of many hosts: membership, placement, registry, relays."""
--- a/src/siskinpier/core/broadcast.py
+++ b/src/siskinpier/core/cluster/broadcast.py
@@ -1,8 +1,8 @@
 """Telling every other host something, in one hop."""
 
-from .effects import Effect, SendMessage
-from .messages import Message
-from .state import HostState
+from ..effects import Effect, SendMessage
+from ..messages import Message
+from ..state import HostState
 
 
 def tell_domain(state: HostState, message: Message, out: list[Effect]) -> None:
--- a/src/siskinpier/core/dissemination.py
+++ b/src/siskinpier/core/cluster/dissemination.py
@@ -9,7 +9,9 @@
 from dataclasses import replace
 from typing import Final
 
-from .effects import Effect, LogDecision, SendMessage
+from ..effects import Effect, LogDecision, SendMessage
+from ..messages import Heartbeat, MemberRecord, MembersNotice
+from ..state import HostState
 from .members import (
     FAR_HEARTBEATS,
     SILENCE_LIMIT_HEARTBEATS,
@@ -19,9 +21,7 @@
     make_record,
     merge_record,
 )
-from .messages import Heartbeat, MemberRecord, MembersNotice
 from .rendezvous import get_weight
-from .state import HostState
 
 SYNC_AFTER_S: Final = 2.0
 SYNC_INTERVAL_S: Final = 5.0
--- a/src/siskinpier/core/following.py
+++ b/src/siskinpier/core/cluster/following.py
@@ -6,16 +6,16 @@
 
 from typing import Final
 
-from .cluster import get_live_hosts
-from .configuration import INTENTS_NAME, take_intents
-from .effects import Effect, LogDecision, ReadObject, SetTimer, WatchIntents
-from .events import ObjectRead
+from ..configuration.updates import INTENTS_NAME, take_intents
+from ..effects import Effect, LogDecision, ReadObject, SetTimer, WatchIntents
+from ..events import ObjectRead
+from ..platform_results import ROUTING_INTENTS, Missing, Stored, Unavailable
+from ..state import HostState
+from ..timers import IntentsPollDue
+from .heartbeats import get_live_hosts
 from .placement import LiveHost
-from .platform_results import ROUTING_INTENTS, Missing, Stored, Unavailable
 from .readiness import take_missing_intents
 from .rendezvous import rank_nodes
-from .state import HostState
-from .timers import IntentsPollDue
 
 POLL_ID: Final = "intents-poll"
 POLL_S: Final = 20.0
--- a/src/siskinpier/core/greeting.py
+++ b/src/siskinpier/core/cluster/greeting.py
@@ -1,9 +1,9 @@
 """What a host tells another that just started: soft state that it missed."""
 
-from .effects import Effect
-from .quarantine import tell_crashes
+from ..effects import Effect
+from ..routing.quarantine import tell_crashes
+from ..state import HostState
 from .server_marks import tell_leaving_servers
-from .state import HostState
 
 
 def greet(state: HostState, host: str, incarnation: int, out: list[Effect]) -> None:
--- a/src/siskinpier/core/cluster.py
+++ b/src/siskinpier/core/cluster/heartbeats.py
@@ -2,8 +2,26 @@
 
 from typing import Final
 
-from .balance import ServerRuntime
-from .budgets import TokenBucket
+from ..configuration.intents import ServiceIntent
+from ..effects import (
+    Effect,
+    LogDecision,
+    SendMessage,
+    SetTimer,
+)
+from ..events import HostsListed, MessageReceived, PeerRefused
+from ..messages import (
+    Heartbeat,
+    IntentsNotice,
+    IntentsRequest,
+    MembersNotice,
+    Message,
+)
+from ..routing.balance import ServerRuntime
+from ..routing.budgets import TokenBucket
+from ..routing.forwarding import count_spare
+from ..state import HostState, Lifecycle, ServiceRuntime
+from ..timers import HeartbeatDue
 from .dissemination import (
     compare_digest,
     judge_members,
@@ -12,15 +30,6 @@
     spread_member,
     take_members,
 )
-from .effects import (
-    Effect,
-    LogDecision,
-    SendMessage,
-    SetTimer,
-)
-from .events import HostsListed, MessageReceived, PeerRefused
-from .forwarding import count_spare
-from .intents import ServiceIntent
 from .members import (
     FAR_HEARTBEATS,
     Member,
@@ -30,18 +39,9 @@
     merge_heartbeat,
     merge_listed,
 )
-from .messages import (
-    Heartbeat,
-    IntentsNotice,
-    IntentsRequest,
-    MembersNotice,
-    Message,
-)
 from .neighbours import make_rings
 from .placement import LiveHost, ServicePlacement, place_service
 from .rendezvous import rank_nodes
-from .state import HostState, Lifecycle, ServiceRuntime
-from .timers import HeartbeatDue
 
 FORGET_SILENT_S: Final = 60.0
 ASK_INTERVAL_S: Final = 0.2
--- a/src/siskinpier/core/members.py
+++ b/src/siskinpier/core/cluster/members.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from .events import ListedHost
-from .messages import Heartbeat, MemberRecord
+from ..events import ListedHost
+from ..messages import Heartbeat, MemberRecord
 from .rendezvous import get_weight
 
 SILENCE_LIMIT_HEARTBEATS: Final = 4
--- a/src/siskinpier/core/placement.py
+++ b/src/siskinpier/core/cluster/placement.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from .intents import ServiceIntent
+from ..configuration.intents import ServiceIntent
 from .rendezvous import pick_node, rank_nodes
 
 
--- a/src/siskinpier/core/readiness.py
+++ b/src/siskinpier/core/cluster/readiness.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from .effects import Effect, LogDecision
+from ..effects import Effect, LogDecision
+from ..state import HostState, Lifecycle
 from .members import is_live
-from .state import HostState, Lifecycle
 
 START_SETTLE_S: Final = 1.0
 NOTHING_STORED: Final = "no routing intents are stored"
--- a/src/siskinpier/core/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -9,15 +9,15 @@
 from dataclasses import replace
 from typing import Final
 
+from ..configuration.intents import BackendServer, ServerState, ServiceIntent
+from ..effects import Effect, LogDecision, SendMessage, SetTimer
+from ..events import ServersChanged, ServersListed
+from ..messages import RegisteredServer, ServersNotice, ServersRequest
+from ..routing.dispatch import drain_queue
+from ..state import HostState
+from ..timers import LapseDue
 from .broadcast import tell_domain
-from .cluster import get_live_hosts, make_service, place
-from .dispatch import drain_queue
-from .effects import Effect, LogDecision, SendMessage, SetTimer
-from .events import ServersChanged, ServersListed
-from .intents import BackendServer, ServerState, ServiceIntent
-from .messages import RegisteredServer, ServersNotice, ServersRequest
-from .state import HostState
-from .timers import LapseDue
+from .heartbeats import get_live_hosts, make_service, place
 
 # Time after an outage for servers whose entries lapsed in it to write them again,
 # seconds. A little less than the two that they may take, as one that left in truth must
--- a/src/siskinpier/core/relays.py
+++ b/src/siskinpier/core/cluster/relays.py
@@ -8,16 +8,16 @@
 
 from typing import Final
 
+from ..effects import Effect, LogDecision, SetTimer, WatchIntents
+from ..events import PlatformLost, PlatformReached
+from ..messages import IntentsNotice, IntentsRequest, RelayWord
+from ..routing.slot_requests import send_to
+from ..state import HostState
+from ..timers import RelayDue
 from .broadcast import tell_domain
-from .cluster import get_live_hosts
-from .effects import Effect, LogDecision, SetTimer, WatchIntents
-from .events import PlatformLost, PlatformReached
-from .messages import IntentsNotice, IntentsRequest, RelayWord
+from .heartbeats import get_live_hosts
 from .registry import request_servers
 from .rendezvous import rank_nodes
-from .slot_requests import send_to
-from .state import HostState
-from .timers import RelayDue
 
 WORD_INTERVAL_S: Final = 0.3
 # Time without a relay's word until the next host by rank watches itself, and how
--- a/src/siskinpier/core/cluster_revisions.py
+++ b/src/siskinpier/core/cluster/revisions.py
@@ -1,7 +1,7 @@
 """Which hosts have a revision of the routing intents in force."""
 
+from ..state import HostState
 from .members import is_live
-from .state import HostState
 
 
 def get_hosts_behind(state: HostState, revision: int, now: float) -> list[str]:
--- a/src/siskinpier/core/server_marks.py
+++ b/src/siskinpier/core/cluster/server_marks.py
@@ -7,12 +7,12 @@
 
 from typing import Final
 
-from .balance import ServerRuntime
+from ..effects import Effect, LogDecision, SendMessage
+from ..messages import ServerNotice
+from ..routing.balance import ServerRuntime
+from ..state import HostState, ServiceRuntime
 from .broadcast import tell_all
-from .effects import Effect, LogDecision, SendMessage
 from .members import Member
-from .messages import ServerNotice
-from .state import HostState, ServiceRuntime
 
 HEARD_LATELY_S: Final = 1.0
 
--- a/src/siskinpier/core/shutdown.py
+++ b/src/siskinpier/core/cluster/shutdown.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
-from .claim_owner import has_unwritten, write_outcomes
-from .cluster import beat, refresh_placement
-from .dispatch import drain_queue
-from .effects import Effect, LogDecision, SetTimer, StopHost
-from .routing import give_up_calls
-from .state import HostState, Lifecycle
-from .timers import ShutdownStep
+from ..claims.owner import has_unwritten, write_outcomes
+from ..effects import Effect, LogDecision, SetTimer, StopHost
+from ..routing.arrivals import give_up_calls
+from ..routing.dispatch import drain_queue
+from ..state import HostState, Lifecycle
+from ..timers import ShutdownStep
+from .heartbeats import beat, refresh_placement
 
 CHECK_S: Final = 0.05
 
--- /dev/null
+++ b/src/siskinpier/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Declared routing intents, and orders that change them."""
--- a/src/siskinpier/core/soft_orders.py
+++ b/src/siskinpier/core/configuration/soft_orders.py
@@ -1,7 +1,9 @@
 """Orders on soft state: carried out at once by telling all hosts, nothing stored."""
 
-from .effects import AnswerOrder, Effect, LogDecision
-from .events import OrderGiven
+from ..effects import AnswerOrder, Effect, LogDecision
+from ..events import OrderGiven
+from ..routing.quarantine import list_quarantine, release
+from ..state import HostState
 from .orders import (
     GuardedOrder,
     Order,
@@ -10,8 +12,6 @@
     ReleaseQuarantine,
     make_stale,
 )
-from .quarantine import list_quarantine, release
-from .state import HostState
 
 
 def give_soft_order(state: HostState, event: OrderGiven, out: list[Effect]) -> bool:
--- a/src/siskinpier/core/configuration.py
+++ b/src/siskinpier/core/configuration/updates.py
@@ -3,9 +3,11 @@
 from dataclasses import asdict, replace
 from typing import Final
 
-from .cluster import announce_revision, get_live_hosts, make_service, place
-from .dispatch import drain_queue
-from .effects import (
+from ..cluster.heartbeats import announce_revision, get_live_hosts, make_service, place
+from ..cluster.readiness import check_readiness
+from ..cluster.registry import fill_service
+from ..cluster.rendezvous import get_weight
+from ..effects import (
     AnswerOrder,
     ClearTimer,
     Effect,
@@ -14,10 +16,8 @@
     SetTimer,
     WriteObject,
 )
-from .events import ObjectRead, ObjectWritten, OrderGiven
-from .intents import RECENT_UPDATES_KEPT, RoutingIntents
-from .orders import OrderError, OrderResult, OrderStatus, apply_order
-from .platform_results import (
+from ..events import ObjectRead, ObjectWritten, OrderGiven
+from ..platform_results import (
     ROUTING_INTENTS,
     Conflicted,
     Missing,
@@ -26,12 +26,12 @@
     Unknown,
     Written,
 )
-from .readiness import check_readiness
-from .registry import fill_service
-from .rendezvous import get_weight
-from .routes import make_route_table
-from .state import HostState, PendingOrder
-from .timers import OrderRetry
+from ..routing.dispatch import drain_queue
+from ..routing.routes import make_route_table
+from ..state import HostState, PendingOrder
+from ..timers import OrderRetry
+from .intents import RECENT_UPDATES_KEPT, RoutingIntents
+from .orders import OrderError, OrderResult, OrderStatus, apply_order
 
 INTENTS_NAME: Final = "main"
 ORDER_BOUND_S: Final = 10.0
--- a/src/siskinpier/core/effects.py
+++ b/src/siskinpier/core/effects.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from .claim_messages import KeptReply
+from .claims.messages import KeptReply
+from .configuration.orders import OrderResult
 from .messages import Message
-from .orders import OrderResult
 from .timers import Timer
 from .verdict import Problem, Verdict
 
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -5,12 +5,12 @@
 
 from dataclasses import dataclass
 
-from .calls import Call, LoadReport
-from .claim_messages import KeptReply
-from .intents import RoutingIntents
+from .claims.messages import KeptReply
+from .configuration.intents import RoutingIntents
+from .configuration.orders import Order
 from .messages import Message, RegisteredServer
-from .orders import Order
 from .platform_results import ReadResult, WriteResult
+from .routing.calls import Call, LoadReport
 from .timers import Timer
 from .verdict import AttemptFailure, Verdict
 
--- /dev/null
+++ b/src/siskinpier/core/language/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' questions and orders as text."""
--- a/src/siskinpier/core/explain.py
+++ b/src/siskinpier/core/language/explain.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from .effects import Effect, LogDecision
+from ..effects import Effect, LogDecision
 
 CALLS_KEPT: Final = 4_096
 DECISIONS_KEPT: Final = 16
--- a/src/siskinpier/core/interpretation.py
+++ b/src/siskinpier/core/language/interpretation.py
@@ -6,8 +6,7 @@
 from annotated_types import Ge, Gt, Le
 from lark import ParseTree, Token, Transformer, v_args
 
-from .grammar import TERMINAL_TEXTS
-from .intents import (
+from ..configuration.intents import (
     DEFAULT_URGENCY,
     CallRule,
     ProbeBudget,
@@ -15,7 +14,7 @@
     ServiceIntent,
     Urgency,
 )
-from .orders import (
+from ..configuration.orders import (
     GuardedOrder,
     Limit,
     Order,
@@ -25,6 +24,7 @@
     SetRule,
     SetServerState,
 )
+from .grammar import TERMINAL_TEXTS
 from .queries import (
     AskBudgets,
     AskClaims,
--- a/src/siskinpier/core/questions.py
+++ b/src/siskinpier/core/language/questions.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 
-from .cluster import get_live_hosts, is_leaving
-from .cluster_revisions import get_hosts_behind
+from ..cluster.heartbeats import get_live_hosts, is_leaving
+from ..cluster.readiness import get_lack
+from ..cluster.revisions import get_hosts_behind
+from ..configuration.intents import RECENT_UPDATES_KEPT
+from ..state import HostState, Lifecycle
 from .explain import CALLS_KEPT
-from .intents import RECENT_UPDATES_KEPT
-from .language import LanguageError, parse_question
+from .parsing import LanguageError, parse_question
 from .queries import (
     AskBudgets,
     AskClaims,
@@ -18,7 +20,6 @@
     AskUpdate,
     ExplainCall,
 )
-from .readiness import get_lack
 from .service_rows import (
     Rows,
     list_budgets,
@@ -29,7 +30,6 @@
     show,
     show_claim_writes,
 )
-from .state import HostState, Lifecycle
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/service_rows.py
+++ b/src/siskinpier/core/language/service_rows.py
@@ -1,15 +1,15 @@
 """Rows about services, their backend servers, budgets, claims and quarantines."""
 
-from .balance import (
+from ..configuration.intents import ServerState
+from ..routing.balance import (
     ServerRuntime,
     get_slot_limit,
     has_room,
     is_draining,
     is_ejected,
 )
-from .intents import ServerState
-from .quarantine import list_quarantine
-from .state import HostState, ServiceRuntime
+from ..routing.quarantine import list_quarantine
+from ..state import HostState, ServiceRuntime
 
 Rows = list[dict[str, object]]
 
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
-from .calls import LoadReport
-from .claim_messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
-from .intents import RoutingIntents
+from .claims.messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
+from .configuration.intents import RoutingIntents
+from .routing.calls import LoadReport
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -4,11 +4,13 @@
 Begin reading here: each branch names the module that decides.
 """
 
-from .claim_flow import step_claims, take_claim_message
-from .claim_messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
-from .claim_owner import step_shard, take_read, take_written
-from .claims import ask_again, send_ends_again
-from .cluster import (
+from .claims.flow import step_claims, take_claim_message
+from .claims.holder import ask_again, send_ends_again
+from .claims.messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
+from .claims.owner import step_shard, take_read, take_written
+from .cluster.following import POLL_ID, poll_intents, refresh_watchers, take_poll
+from .cluster.greeting import greet
+from .cluster.heartbeats import (
     answer_intents_request,
     beat,
     take_heartbeat,
@@ -16,14 +18,32 @@
     take_members_notice,
     take_refusal,
 )
-from .configuration import (
+from .cluster.readiness import check_readiness, take_missing_intents
+from .cluster.registry import (
+    answer_servers_request,
+    drop_lapsed,
+    take_changed,
+    take_listed,
+    take_servers_notice,
+)
+from .cluster.relays import (
+    pass_on_intents,
+    start_relay,
+    step_relay,
+    take_lost,
+    take_reached,
+    take_word,
+)
+from .cluster.server_marks import take_server_notice
+from .cluster.shutdown import start_shutdown, step_shutdown
+from .configuration.soft_orders import give_soft_order
+from .configuration.updates import (
     continue_order,
     retry_order,
     settle_order,
     start_order,
     take_intents,
 )
-from .dispatch import drain_queue, take_spare_notice
 from .effects import Effect
 from .events import (
     AttemptFailed,
@@ -50,10 +70,6 @@
     ShutdownRequested,
     TimerFired,
 )
-from .following import POLL_ID, poll_intents, refresh_watchers, take_poll
-from .forwarding import send_due_spare
-from .greeting import greet
-from .hedging import send_hedge
 from .messages import (
     CrashReport,
     Heartbeat,
@@ -72,35 +88,20 @@
     SlotRequest,
     SpareNotice,
 )
-from .probing import start_probes, take_probe
-from .quarantine import (
+from .routing.arrivals import cancel_call, expire_call, start_call
+from .routing.dispatch import drain_queue, take_spare_notice
+from .routing.forwarding import send_due_spare
+from .routing.hedging import send_hedge
+from .routing.probing import start_probes, take_probe
+from .routing.quarantine import (
     give_release,
     note_answer,
     note_break,
     take_release,
     take_report,
 )
-from .readiness import check_readiness, take_missing_intents
-from .registry import (
-    answer_servers_request,
-    drop_lapsed,
-    take_changed,
-    take_listed,
-    take_servers_notice,
-)
-from .relays import (
-    pass_on_intents,
-    start_relay,
-    step_relay,
-    take_lost,
-    take_reached,
-    take_word,
-)
-from .replies import fail_attempt, finish_reply, take_reply
-from .routing import cancel_call, expire_call, start_call
-from .server_marks import take_server_notice
-from .shutdown import start_shutdown, step_shutdown
-from .slots import (
+from .routing.replies import fail_attempt, finish_reply, take_reply
+from .routing.slots import (
     check_slot,
     take_end,
     take_grant,
@@ -108,7 +109,6 @@
     take_refusal as take_slot_refusal,
     take_request,
 )
-from .soft_orders import give_soft_order
 from .state import HostState
 from .timers import (
     CallDeadline,
--- /dev/null
+++ b/src/siskinpier/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a call: route, admission, server, slot, retry, answer."""
--- a/src/siskinpier/core/address_choice.py
+++ b/src/siskinpier/core/routing/address_choice.py
@@ -8,11 +8,11 @@
 from collections.abc import Mapping
 from math import ceil
 
+from ..cluster.heartbeats import get_live_hosts
+from ..cluster.rendezvous import rank_nodes
+from ..state import HostState
 from .addresses import AddressAnswer
 from .balance import is_draining
-from .cluster import get_live_hosts
-from .rendezvous import rank_nodes
-from .state import HostState
 
 
 def choose_addresses(
--- a/src/siskinpier/core/addresses.py
+++ b/src/siskinpier/core/routing/addresses.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from .cluster import get_live_hosts
-from .placement import order_addresses
-from .state import HostState
+from ..cluster.heartbeats import get_live_hosts
+from ..cluster.placement import order_addresses
+from ..state import HostState
 
 KEEP_JITTER: Final = 0.2
 
--- a/src/siskinpier/core/admission.py
+++ b/src/siskinpier/core/routing/admission.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
+from ..state import ENDS_MEMORY_S, ServiceRuntime
 from .balance import get_slot_limit, is_draining, is_ejected
 from .calls import ActiveCall
-from .state import ENDS_MEMORY_S, ServiceRuntime
 
 # How much longer a late call waits, as others come in before it.
 OVERTAKING: Final = 2.0
--- a/src/siskinpier/core/routing.py
+++ b/src/siskinpier/core/routing/arrivals.py
@@ -2,14 +2,11 @@
 
 from typing import Final
 
-from .attempts import abandon, note_late
-from .calls import ActiveCall, Stage
-from .claims import has_valid_key, needs_claim, start_claim
-from .dispatch import drain_queue, give_up_waiting, place_call
-from .effects import CutReply, Effect, LogDecision, SetTimer
-from .events import CallArrived, CallCancelled
-from .intents import Route, get_rule
-from .problems import (
+from ..claims.holder import has_valid_key, needs_claim, start_claim
+from ..configuration.intents import Route, get_rule
+from ..effects import CutReply, Effect, LogDecision, SetTimer
+from ..events import CallArrived, CallCancelled
+from ..problems import (
     make_deadline_passed,
     make_host_ended,
     make_key_invalid,
@@ -17,12 +14,15 @@
     make_unknown_route,
     make_unknown_service,
 )
+from ..state import HostState, Lifecycle
+from ..timers import CallDeadline
+from ..verdict import Problem, Verdict
+from .attempts import abandon, note_late
+from .calls import ActiveCall, Stage
+from .dispatch import drain_queue, give_up_waiting, place_call
 from .quarantine import judge_quarantine
 from .refusals import forget, judge_unseen, refuse, refuse_unseen
 from .routes import apply_route, make_route_rule
-from .state import HostState, Lifecycle
-from .timers import CallDeadline
-from .verdict import Problem, Verdict
 
 # How long a reply may take that began to arrive just before its deadline.
 RELAY_GRACE_S: Final = 0.25
--- a/src/siskinpier/core/attempts.py
+++ b/src/siskinpier/core/routing/attempts.py
@@ -2,9 +2,8 @@
 
 from typing import Final
 
-from .balance import ServerRuntime
-from .calls import ActiveCall, Attempt, Grant, Stage
-from .effects import (
+from ..cluster.members import Member
+from ..effects import (
     AbandonAttempt,
     Effect,
     LogDecision,
@@ -12,14 +11,15 @@
     SendMessage,
     SetTimer,
 )
+from ..messages import SlotEnd, SlotGrant, SlotUse
+from ..state import HostState, ServiceRuntime
+from ..timers import CallDeadline
+from ..verdict import AttemptFailure
+from .balance import ServerRuntime
+from .calls import ActiveCall, Attempt, Grant, Stage
 from .forwarding import note_forward
 from .health import record_failure
-from .members import Member
-from .messages import SlotEnd, SlotGrant, SlotUse
 from .slot_requests import drop_asks
-from .state import HostState, ServiceRuntime
-from .timers import CallDeadline
-from .verdict import AttemptFailure
 from .waiting import FORWARD_MARGIN_S
 
 LATE_REPLIES: Final = 5.0
--- a/src/siskinpier/core/balance.py
+++ b/src/siskinpier/core/routing/balance.py
@@ -5,8 +5,8 @@
 from math import sqrt
 from typing import Final
 
+from ..configuration.intents import BackendServer, ServerState
 from .calls import LoadReport
-from .intents import BackendServer, ServerState
 
 FAILURE_PENALTY: Final = 8.0
 SLOW_START_S: Final = 2.0
--- a/src/siskinpier/core/calls.py
+++ b/src/siskinpier/core/routing/calls.py
@@ -4,8 +4,8 @@
 from enum import Enum, auto
 from typing import Final, TypeAlias
 
-from .intents import Route
-from .verdict import Verdict
+from ..configuration.intents import Route
+from ..verdict import Verdict
 
 DEFAULT_ATTEMPTS_LIMIT: Final = 3
 
--- a/src/siskinpier/core/candidates.py
+++ b/src/siskinpier/core/routing/candidates.py
@@ -13,6 +13,7 @@
 from math import inf
 from typing import Final
 
+from ..state import ServiceRuntime
 from .balance import (
     ServerRuntime,
     choose_server,
@@ -22,7 +23,6 @@
 )
 from .calls import ActiveCall
 from .speeds import estimate_run_s, is_slow
-from .state import ServiceRuntime
 
 COMPARED_SERVERS: Final = 32
 # How long a call waits for word of a free slot elsewhere before it settles for a
--- a/src/siskinpier/core/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -3,6 +3,11 @@
 from math import inf
 from typing import Final
 
+from ..effects import Effect, LogDecision, SetTimer
+from ..messages import SpareNotice
+from ..problems import make_no_server, make_overloaded
+from ..state import HostState, ServiceRuntime
+from ..timers import CallDeadline, PatienceDue
 from .admission import (
     estimate_wait_s,
     get_retry_after_s,
@@ -19,16 +24,11 @@
     estimate_answer_s,
 )
 from .crossing import is_crossing_worth, may_cross
-from .effects import Effect, LogDecision, SetTimer
 from .forwarding import choose_peer, list_forwardable, report_spare, take_spare
 from .hedging import plan_hedge
-from .messages import SpareNotice
-from .problems import make_no_server, make_overloaded
 from .quarantine import judge_quarantine
 from .refusals import forget, refuse
 from .slot_requests import ask_slot, ask_spare
-from .state import HostState, ServiceRuntime
-from .timers import CallDeadline, PatienceDue
 
 OVERTAKEN_LIMIT: Final = 8
 # Part of its time after which a call that still waits is refused.
--- a/src/siskinpier/core/forwarding.py
+++ b/src/siskinpier/core/routing/forwarding.py
@@ -7,13 +7,13 @@
 
 from typing import Final
 
+from ..cluster.members import Member
+from ..effects import Effect, SendMessage, SetTimer
+from ..messages import SpareNotice
+from ..state import HostState, ServiceRuntime
+from ..timers import SpareDue
 from .balance import get_slot_limit, has_room
 from .calls import ActiveCall
-from .effects import Effect, SendMessage, SetTimer
-from .members import Member
-from .messages import SpareNotice
-from .state import HostState, ServiceRuntime
-from .timers import SpareDue
 
 SPARE_INTERVAL_S: Final = 0.02
 # More room than this share of the slots, or this many, is told as just this much.
--- a/src/siskinpier/core/hedging.py
+++ b/src/siskinpier/core/routing/hedging.py
@@ -8,15 +8,15 @@
 
 from typing import Final
 
+from ..effects import AbandonAttempt, Effect, SetTimer
+from ..state import HostState, ServiceRuntime
+from ..timers import HedgeDue
 from .attempts import release, send
 from .balance import ServerRuntime, choose_server
 from .calls import ActiveCall, Attempt, Stage
-from .effects import AbandonAttempt, Effect, SetTimer
 from .health import record_slow
 from .quarantine import is_quarantined
 from .speeds import estimate_rest_s, is_slow
-from .state import HostState, ServiceRuntime
-from .timers import HedgeDue
 
 QUANTILE_STEP: Final = 0.1
 LEAST_QUANTILE: Final = 0.5
--- a/src/siskinpier/core/limits.py
+++ b/src/siskinpier/core/routing/limits.py
@@ -9,8 +9,8 @@
 from statistics import median_low
 from typing import Final
 
+from ..state import ServiceRuntime
 from .balance import ServerRuntime
-from .state import ServiceRuntime
 
 LATENCY_TOLERANCE: Final = 1.6
 FEWEST_COMPARED: Final = 2
--- a/src/siskinpier/core/probe_budget.py
+++ b/src/siskinpier/core/routing/probe_budget.py
@@ -12,10 +12,10 @@
 from itertools import zip_longest
 from typing import Final
 
+from ..cluster.heartbeats import is_leaving
+from ..cluster.rendezvous import rank_nodes
+from ..state import HostState, ServiceRuntime
 from .budgets import TokenBucket
-from .cluster import is_leaving
-from .rendezvous import rank_nodes
-from .state import HostState, ServiceRuntime
 
 # Shares of the budget: what all hosts that may probe can use up in a second,
 # and how many hosts that is for each probe of the budget.
--- a/src/siskinpier/core/probing.py
+++ b/src/siskinpier/core/routing/probing.py
@@ -2,18 +2,18 @@
 
 from typing import Final
 
+from ..cluster.server_marks import note_server_leaving
+from ..effects import Effect, LogDecision, SendProbe, SetTimer
+from ..events import ProbeAnswered
+from ..state import HostState, ServiceRuntime
+from ..timers import ProbesDue
 from .balance import ServerRuntime, is_draining, is_ejected
-from .effects import Effect, LogDecision, SendProbe, SetTimer
-from .events import ProbeAnswered
 from .full_servers import refresh_full_limits
 from .health import record_probe
 from .limits import refresh_limits
 from .probe_budget import note_probe_bytes, refresh_bucket
-from .server_marks import note_server_leaving
 from .speed_changes import note_silence, take_speed
 from .speeds import has_fallen_silent
-from .state import HostState, ServiceRuntime
-from .timers import ProbesDue
 
 PROBE_INTERVAL_S: Final = 0.2
 PROBE_TIMEOUT_S: Final = 1.0
--- a/src/siskinpier/core/quarantine.py
+++ b/src/siskinpier/core/routing/quarantine.py
@@ -13,16 +13,16 @@
 from dataclasses import dataclass
 from typing import Final
 
-from .broadcast import tell_all
+from ..cluster.broadcast import tell_all
+from ..cluster.members import Member
+from ..effects import Effect, LogDecision, SendMessage
+from ..events import AttemptFailed, ReleaseQuarantine, ReplyFinished
+from ..messages import CrashReport, QuarantineRelease
+from ..problems import make_quarantined
+from ..state import HostState
+from ..verdict import AttemptFailure, Problem, Verdict
 from .calls import Call
-from .effects import Effect, LogDecision, SendMessage
-from .events import AttemptFailed, ReleaseQuarantine, ReplyFinished
-from .members import Member
-from .messages import CrashReport, QuarantineRelease
-from .problems import make_quarantined
-from .state import HostState
 from .suspects import Suspect
-from .verdict import AttemptFailure, Problem, Verdict
 
 CRASHES_LIMIT: Final = 2
 SUSPICION_S: Final = 300.0
--- a/src/siskinpier/core/refusals.py
+++ b/src/siskinpier/core/routing/refusals.py
@@ -2,12 +2,12 @@
 
 from dataclasses import replace
 
+from ..effects import ClearTimer, Effect, LogDecision, RefuseCall, SendMessage
+from ..messages import SlotRefusal
+from ..state import HostState
+from ..timers import CallDeadline, HedgeDue, SlotDue
+from ..verdict import Problem, Verdict
 from .calls import ActiveCall, Call
-from .effects import ClearTimer, Effect, LogDecision, RefuseCall, SendMessage
-from .messages import SlotRefusal
-from .state import HostState
-from .timers import CallDeadline, HedgeDue, SlotDue
-from .verdict import Problem, Verdict
 
 
 def forget(state: HostState, active: ActiveCall, out: list[Effect]) -> None:
--- a/src/siskinpier/core/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -2,21 +2,21 @@
 
 from typing import Final
 
+from ..cluster.server_marks import note_server_leaving
+from ..effects import CutReply, Effect, LogDecision, RelayReply
+from ..events import AttemptFailed, ReplyFinished, ReplyStarted
+from ..problems import make_attempt_failed
+from ..state import HostState
+from ..verdict import AttemptFailure, Verdict, get_failure_verdict, get_reply_verdict
 from .attempts import get_current, learn_service_time, note_failure, release
 from .calls import ActiveCall, Attempt, Stage
 from .dispatch import drain_queue
-from .effects import CutReply, Effect, LogDecision, RelayReply
-from .events import AttemptFailed, ReplyFinished, ReplyStarted
 from .full_servers import learn_run
 from .health import record_success
 from .hedging import drop_rival, fall_back_to_rival, learn_hedge_time
-from .problems import make_attempt_failed
 from .refusals import forget, refuse
 from .retrying import note_verdict, try_again
-from .server_marks import note_server_leaving
 from .speed_changes import take_speed
-from .state import HostState
-from .verdict import AttemptFailure, Verdict, get_failure_verdict, get_reply_verdict
 
 SERVER_ERROR_STATUSES: Final = range(500, 600)
 
--- a/src/siskinpier/core/retrying.py
+++ b/src/siskinpier/core/routing/retrying.py
@@ -1,12 +1,12 @@
 """Another attempt of a call, within the budget of its service."""
 
+from ..effects import AbandonAttempt, Effect, LogDecision
+from ..state import HostState, ServiceRuntime
+from ..verdict import Verdict, may_try_again
 from .attempts import release
 from .calls import ActiveCall
 from .dispatch import has_other_target, place_call
-from .effects import AbandonAttempt, Effect, LogDecision
 from .quarantine import is_quarantined
-from .state import HostState, ServiceRuntime
-from .verdict import Verdict, may_try_again
 
 
 def note_verdict(active: ActiveCall, verdict: Verdict) -> None:
--- a/src/siskinpier/core/routes.py
+++ b/src/siskinpier/core/routing/routes.py
@@ -5,8 +5,8 @@
 from random import Random
 from typing import Final
 
+from ..configuration.intents import CallRule, Route
 from .calls import Call
-from .intents import CallRule, Route
 
 # Weight of the newest reply in the mean size, and time in which a route's count of
 # calls falls to a third, seconds.
--- a/src/siskinpier/core/slot_requests.py
+++ b/src/siskinpier/core/routing/slot_requests.py
@@ -7,14 +7,14 @@
 from math import inf
 from typing import Final
 
+from ..cluster.members import Member
+from ..effects import Effect, SendMessage, SetTimer
+from ..messages import Message, SlotEnd, SlotRequest, SlotUse
+from ..state import HostState, ServiceRuntime
+from ..timers import SlotDue
 from .calls import ActiveCall, Ask, Stage
 from .crossing import may_cross
-from .effects import Effect, SendMessage, SetTimer
 from .forwarding import choose_peer
-from .members import Member
-from .messages import Message, SlotEnd, SlotRequest, SlotUse
-from .state import HostState, ServiceRuntime
-from .timers import SlotDue
 
 # A home in the same failure domain gives word within this long, seconds.
 NEAR_ANSWER_S: Final = 0.08
--- a/src/siskinpier/core/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -7,33 +7,33 @@
 
 from typing import Final
 
+from ..cluster.members import Member
+from ..effects import Effect, LogDecision, SendMessage, SetTimer
+from ..messages import (
+    SlotEnd,
+    SlotGrant,
+    SlotQueued,
+    SlotRefusal,
+    SlotRequest,
+    SlotUse,
+)
+from ..problems import make_no_retry, make_no_server
+from ..state import HostState, ServiceRuntime
+from ..timers import CallDeadline, SlotDue
+from ..verdict import AttemptFailure, Problem
 from .attempts import learn_service_time, note_failure, release, send
 from .balance import ServerRuntime, get_slot_limit, has_room, is_draining
 from .calls import ActiveCall, Attempt, Call, Grant, Stage
 from .candidates import PATIENCE_S, choose_fast, estimate_answer_s
 from .crossing import is_crossing_worth
 from .dispatch import drain_queue, place_call
-from .effects import Effect, LogDecision, SendMessage, SetTimer
 from .full_servers import learn_run
 from .health import record_success
 from .hedging import learn_hedge_time
-from .members import Member
-from .messages import (
-    SlotEnd,
-    SlotGrant,
-    SlotQueued,
-    SlotRefusal,
-    SlotRequest,
-    SlotUse,
-)
-from .problems import make_no_retry, make_no_server
 from .refusals import forget, refuse
 from .slot_requests import DOUBT_S, ask_slot, ask_spare, drop_asks, withdraw
 from .speed_changes import take_speed
 from .speeds import is_slow
-from .state import HostState, ServiceRuntime
-from .timers import CallDeadline, SlotDue
-from .verdict import AttemptFailure, Problem
 
 # How often the holder of a queued call looks whether its home lives, seconds.
 QUEUED_CHECK_S: Final = 0.5
--- a/src/siskinpier/core/speed_changes.py
+++ b/src/siskinpier/core/routing/speed_changes.py
@@ -2,14 +2,14 @@
 
 from typing import Final
 
+from ..effects import Effect, LogDecision
+from ..state import HostState, ServiceRuntime
 from .balance import ServerRuntime
 from .calls import LoadReport
 from .dispatch import drain_queue
-from .effects import Effect, LogDecision
 from .hedging import hedge_slowed
 from .load_reports import take_load
 from .speeds import is_slow
-from .state import HostState, ServiceRuntime
 
 # A gap between two reports counts for this much at the most, seconds.
 LONGEST_GAP_S: Final = 0.2
--- a/src/siskinpier/core/speeds.py
+++ b/src/siskinpier/core/routing/speeds.py
@@ -6,8 +6,8 @@
 
 from typing import Final
 
+from ..state import ServiceRuntime
 from .balance import ServerRuntime
-from .state import ServiceRuntime
 
 # A report says nothing any more of the speed after this long, seconds.
 SPEED_KNOWN_S: Final = 0.5
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -6,20 +6,20 @@
 from random import Random
 from typing import Final
 
-from .balance import ServerRuntime
-from .budgets import RateMeter, TokenBucket
-from .calls import ActiveCall
-from .claim_state import ClaimsState
-from .explain import DecisionHistory
-from .intents import RoutingIntents, ServiceIntent
-from .members import Member
+from .claims.state import ClaimsState
+from .cluster.members import Member
+from .cluster.neighbours import Rings, make_rings
+from .cluster.placement import ServicePlacement
+from .configuration.intents import RoutingIntents, ServiceIntent
+from .configuration.orders import Order
+from .language.explain import DecisionHistory
 from .messages import RegisteredServer
-from .neighbours import Rings, make_rings
-from .orders import Order
-from .placement import ServicePlacement
-from .routes import RouteTable
-from .suspects import QuarantineState
-from .waiting import CallQueue
+from .routing.balance import ServerRuntime
+from .routing.budgets import RateMeter, TokenBucket
+from .routing.calls import ActiveCall
+from .routing.routes import RouteTable
+from .routing.suspects import QuarantineState
+from .routing.waiting import CallQueue
 
 RETRY_TOKENS_KEPT: Final = 10.0
 # Time over which the rate of ending calls is taken, seconds.
--- a/src/siskinpier/edge/callers.py
+++ b/src/siskinpier/edge/callers.py
@@ -5,11 +5,11 @@
 from typing import Final
 from urllib.parse import parse_qs
 
-from ..core.calls import Call
-from ..core.claim_messages import KeptReply
+from ..core.claims.messages import KeptReply
+from ..core.configuration.intents import get_service
 from ..core.effects import RefuseCall, RelayReply, ReplayReply, SendAttempt
 from ..core.events import AttemptFailed, CallArrived, CallCancelled, ReplyFinished
-from ..core.intents import get_service
+from ..core.routing.calls import Call
 from ..core.state import Lifecycle
 from ..core.verdict import Problem, Verdict, get_reply_verdict
 from .backends import AttemptError, clean_reply_headers
--- a/src/siskinpier/edge/codec.py
+++ b/src/siskinpier/edge/codec.py
@@ -6,7 +6,7 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
-from ..core.claim_messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
+from ..core.claims.messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
 from ..core.messages import (
     CrashReport,
     Heartbeat,
--- a/src/siskinpier/edge/dialect.py
+++ b/src/siskinpier/edge/dialect.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from ..core.calls import Call, LoadReport
 from ..core.effects import SendAttempt
 from ..core.events import ReplyStarted
+from ..core.routing.calls import Call, LoadReport
 from ..core.verdict import Verdict
 from .backends import BackendReply
 from .exchange import Exchange
--- a/src/siskinpier/edge/exchange.py
+++ b/src/siskinpier/edge/exchange.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ..core.claim_messages import KeptReply
+from ..core.claims.messages import KeptReply
 from ..core.effects import RefuseCall, RelayReply, ReplayReply, SendAttempt
 from .backends import BackendReply
 from .bodies import Body
--- a/src/siskinpier/edge/following.py
+++ b/src/siskinpier/edge/following.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ..core.configuration import INTENTS_NAME
+from ..core.configuration.updates import INTENTS_NAME
 from ..core.events import HostsListed, IntentsMissing, IntentsSeen, ListedHost
 from ..core.platform_results import (
     HOSTS,
--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -12,8 +12,8 @@
 from hypercorn.asyncio import serve as serve_hypercorn
 from hypercorn.config import Config as HypercornConfig
 
+from ..core.configuration.intents import RoutingIntents
 from ..core.events import HostStarted
-from ..core.intents import RoutingIntents
 from ..core.state import CoreSettings, HostIdentity, HostState, make_state
 from ..exits import ExitCode
 from ..logs import log_event, set_up_logs
--- a/src/siskinpier/edge/operator_requests.py
+++ b/src/siskinpier/edge/operator_requests.py
@@ -8,7 +8,7 @@
 from annotated_types import Ge
 from pydantic import StringConstraints, TypeAdapter
 
-from ..core.intents import FORBID_EXTRA
+from ..core.configuration.intents import FORBID_EXTRA
 from ..settings.documents import Rejected, validate
 from .responses import Receive
 
--- a/src/siskinpier/edge/operators.py
+++ b/src/siskinpier/edge/operators.py
@@ -6,22 +6,22 @@
 
 import anyio
 
-from ..core.cluster_revisions import get_hosts_behind
-from ..core.difference import compare_intents
-from ..core.intents import RoutingIntents
-from ..core.language import LanguageError, parse_order
-from ..core.orders import (
+from ..core.cluster.readiness import knows_base
+from ..core.cluster.revisions import get_hosts_behind
+from ..core.configuration.difference import compare_intents
+from ..core.configuration.intents import RoutingIntents
+from ..core.configuration.orders import (
     OrderResult,
     OrderStatus,
     ReplaceServices,
     find_undone,
 )
-from ..core.questions import (
+from ..core.language.parsing import LanguageError, parse_order
+from ..core.language.questions import (
     NotFound,
     answer_question,
     get_unready_reason,
 )
-from ..core.readiness import knows_base
 from ..settings.documents import Rejected, parse_intents
 from .operator_access import find_operator
 from .operator_requests import (
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -7,8 +7,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..core.addresses import AddressAnswer, get_addresses
-from ..core.calls import LoadReport
+from ..core.configuration.orders import Order, OrderResult
 from ..core.effects import (
     AbandonAttempt,
     AnswerOrder,
@@ -41,8 +40,9 @@
     TimerFired,
 )
 from ..core.messages import Message
-from ..core.orders import Order, OrderResult
 from ..core.reducer import reduce
+from ..core.routing.addresses import AddressAnswer, get_addresses
+from ..core.routing.calls import LoadReport
 from ..core.state import HostState
 from ..core.timers import Timer
 from ..core.verdict import AttemptFailure
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -16,8 +16,8 @@
 )
 from prometheus_client.registry import Collector
 
-from .core.cluster import get_live_hosts
-from .core.cluster_revisions import get_hosts_behind
+from .core.cluster.heartbeats import get_live_hosts
+from .core.cluster.revisions import get_hosts_behind
 from .core.state import HostState
 
 LATENCY_BUCKETS_S = (
--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -4,8 +4,8 @@
 from typing import Final
 from urllib.parse import parse_qs
 
-from ..core.address_choice import choose_addresses
-from ..core.calls import Call
+from ..core.routing.address_choice import choose_addresses
+from ..core.routing.calls import Call
 from ..core.state import Lifecycle
 from ..core.verdict import Problem, Verdict
 from ..edge.bodies import CallerDisconnectedError, read_body
--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -8,14 +8,14 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from ..core.events import ListedHost
-from ..core.intents import (
+from ..core.configuration.intents import (
     ProbeBudget,
     Route,
     RoutingIntents,
     ServiceIntent,
     WeightedService,
 )
+from ..core.events import ListedHost
 from ..core.messages import RegisteredServer
 from .settings import AdapterSettings
 
--- a/src/siskinpier/platform/fields.py
+++ b/src/siskinpier/platform/fields.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from ..core.calls import Call, LoadReport
 from ..core.effects import SendAttempt
 from ..core.events import ReplyStarted
+from ..core.routing.calls import Call, LoadReport
 from ..core.verdict import Verdict
 from ..edge.backends import BackendReply
 from ..edge.exchange import Exchange
--- a/src/siskinpier/settings/checks.py
+++ b/src/siskinpier/settings/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
-from ..core.intents import DEFAULT_URGENCY
+from ..core.configuration.intents import DEFAULT_URGENCY
 from .addresses import parse_ip, parse_ip_port
 from .errors import HIDDEN, DocumentError, join_path, show_value
 
--- a/src/siskinpier/settings/documents.py
+++ b/src/siskinpier/settings/documents.py
@@ -15,7 +15,7 @@
 from pydantic import TypeAdapter, ValidationError
 from pydantic_core import ErrorDetails
 
-from ..core.intents import RoutingIntents
+from ..core.configuration.intents import RoutingIntents
 from .checks import LISTEN_FIELDS, check_intents, check_settings
 from .errors import HIDDEN, DocumentError, join_path, show_type, show_value
 from .host import HostSettings
--- a/src/siskinpier/settings/host.py
+++ b/src/siskinpier/settings/host.py
@@ -5,7 +5,7 @@
 
 from annotated_types import Ge, Gt, Le, Len
 
-from ..core.intents import FORBID_EXTRA, Name
+from ..core.configuration.intents import FORBID_EXTRA, Name
 
 Port: TypeAlias = Annotated[int, Ge(0), Le(65_535)]
 IpText: TypeAlias = Annotated[str, Len(2, 45)]
--- a/tests/standins/echo.py
+++ b/tests/standins/echo.py
@@ -6,7 +6,7 @@
 import json
 from urllib.parse import parse_qs
 
-from siskinpier.core.intents import (
+from siskinpier.core.configuration.intents import (
     BackendServer,
     CallRule,
     RoutingIntents,
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -12,7 +12,12 @@
 from random import Random
 from typing import Final
 
-from siskinpier.core.calls import Call, LoadReport
+from siskinpier.core.configuration.intents import (
+    Route,
+    RoutingIntents,
+    ServiceIntent,
+    WeightedService,
+)
 from siskinpier.core.effects import (
     AbandonAttempt,
     ClearTimer,
@@ -42,14 +47,9 @@
     ServersListed,
     TimerFired,
 )
-from siskinpier.core.intents import (
-    Route,
-    RoutingIntents,
-    ServiceIntent,
-    WeightedService,
-)
 from siskinpier.core.messages import Message, RegisteredServer
 from siskinpier.core.reducer import reduce
+from siskinpier.core.routing.calls import Call, LoadReport
 from siskinpier.core.state import CoreSettings, HostIdentity, HostState, make_state
 from siskinpier.core.verdict import Verdict
 
--- a/tests/standins/virtual_shell.py
+++ b/tests/standins/virtual_shell.py
@@ -7,8 +7,8 @@
 import httpx
 
 from bench.virtual.deployment import make_deployment
-from siskinpier.core.intents import RoutingIntents
-from siskinpier.core.orders import Order, OrderResult
+from siskinpier.core.configuration.intents import RoutingIntents
+from siskinpier.core.configuration.orders import Order, OrderResult
 from siskinpier.edge.operators import OperatorApp
 from siskinpier.metrics import HostMetrics
 from siskinpier.settings.host import SecuritySettings
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -14,19 +14,18 @@
 
 from bench.virtual.payments import Fault, FaultKind, Payment, PaymentHistory
 from bench.virtual.servers import Work
-from siskinpier.core import (
-    claim_commits,
-    claim_flow,
-    claim_judging,
-    claim_owner,
-    claims,
-    reducer,
-    replies,
-    retrying,
+from siskinpier.core import reducer
+from siskinpier.core.claims import (
+    commits as claim_commits,
+    flow as claim_flow,
+    holder as claims,
+    judging as claim_judging,
+    owner as claim_owner,
 )
-from siskinpier.core.claim_messages import ClaimOutcome
-from siskinpier.core.claim_store import get_shard, make_claim_id
+from siskinpier.core.claims.messages import ClaimOutcome
+from siskinpier.core.claims.store import get_shard, make_claim_id
 from siskinpier.core.platform_results import Conflicted, Written
+from siskinpier.core.routing import replies, retrying
 from siskinpier.core.verdict import Verdict
 
 CI_HISTORIES: Final = 40
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings, strategies as st
 
 from bench.fleet import Fleet
-from siskinpier.core.intents import RoutingIntents
+from siskinpier.core.configuration.intents import RoutingIntents
 from tests.standins.app_thread import AppThread
 from tests.standins.echo import make_echo_intents, serve_echo
 from tests.test_whole_path import wait_for_revision
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -9,8 +9,8 @@
 from bench.policies import Policy
 from bench.report import P99, P999
 from bench.trial import LISTINGS, SEARCH, Fault, Outcome, Trial, run_trial
-from siskinpier.core.calls import ActiveCall, Call
-from siskinpier.core.candidates import choose_owned
+from siskinpier.core.routing.calls import ActiveCall, Call
+from siskinpier.core.routing.candidates import choose_owned
 
 SEED = 1
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -16,7 +16,7 @@
 import pytest
 
 from bench.fleet import Fleet
-from siskinpier.core.intents import RoutingIntents
+from siskinpier.core.configuration.intents import RoutingIntents
 from siskinpier.core.verdict import AttemptFailure, Verdict, get_failure_verdict
 from siskinpier.edge.backends import AttemptError, BackendClient
 from siskinpier.edge.sockets import make_listener
--- a/tests/test_claim_segments.py
+++ b/tests/test_claim_segments.py
@@ -7,11 +7,11 @@
 
 from bench.virtual import World
 from bench.virtual.deployment import make_deployment
-from siskinpier.core import claim_commits
-from siskinpier.core.claim_segments import CLOCK_MARGIN_S, is_free
-from siskinpier.core.claim_store import get_shard, make_claim_id
+from siskinpier.core.claims import commits as claim_commits
+from siskinpier.core.claims.segments import CLOCK_MARGIN_S, is_free
+from siskinpier.core.claims.store import get_shard, make_claim_id
+from siskinpier.core.cluster.rendezvous import pick_node
 from siskinpier.core.platform_results import CLAIMS, Stored
-from siskinpier.core.rendezvous import pick_node
 from tests.test_claims import list_runs, make_call, make_payments
 
 KEYS: Final = 40
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,9 +7,8 @@
 
 from bench.virtual import World
 from bench.virtual.deployment import make_deployment
-from siskinpier.core.calls import Call
-from siskinpier.core.claim_messages import KeptReply
-from siskinpier.core.claim_store import (
+from siskinpier.core.claims.messages import KeptReply
+from siskinpier.core.claims.store import (
     OBJECT_LIMIT_BYTES,
     Entry,
     EntryState,
@@ -18,14 +17,15 @@
     get_shard,
     make_claim_id,
 )
-from siskinpier.core.events import ShutdownRequested
-from siskinpier.core.intents import (
+from siskinpier.core.cluster.rendezvous import pick_node
+from siskinpier.core.configuration.intents import (
     BackendServer,
     CallRule,
     RoutingIntents,
     ServiceIntent,
 )
-from siskinpier.core.rendezvous import pick_node
+from siskinpier.core.events import ShutdownRequested
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import Verdict
 
 DEADLINE_S: Final = 5.0
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -9,12 +9,16 @@
 from bench.cluster_costs import ClusterCost, make_intents, measure_cluster
 from bench.virtual import VirtualHost, World
 from bench.virtual.deployment import add_host, make_deployment
-from siskinpier.core.cluster_revisions import get_hosts_behind
+from siskinpier.core.cluster.placement import LiveHost, place_service
+from siskinpier.core.cluster.readiness import get_lack
+from siskinpier.core.cluster.revisions import get_hosts_behind
+from siskinpier.core.configuration.intents import ServerState
+from siskinpier.core.configuration.orders import (
+    OrderResult,
+    OrderStatus,
+    SetServerState,
+)
 from siskinpier.core.events import ShutdownRequested
-from siskinpier.core.intents import ServerState
-from siskinpier.core.orders import OrderResult, OrderStatus, SetServerState
-from siskinpier.core.placement import LiveHost, place_service
-from siskinpier.core.readiness import get_lack
 from siskinpier.core.state import Lifecycle
 
 # The bounds of the issue and of the letter.
--- a/tests/test_configuration_history.py
+++ b/tests/test_configuration_history.py
@@ -23,15 +23,21 @@
 from bench.virtual import VirtualHost, VirtualPlatform, World
 from bench.virtual.deployment import make_deployment
 from bench.virtual.host import parse_or_none
-from siskinpier.core import configuration, following, readiness, reducer
-from siskinpier.core.configuration import INTENTS_NAME
-from siskinpier.core.intents import (
+from siskinpier.core import reducer
+from siskinpier.core.cluster import following, readiness
+from siskinpier.core.configuration import updates as configuration
+from siskinpier.core.configuration.intents import (
     BackendServer,
     RoutingIntents,
     ServerState,
     ServiceIntent,
 )
-from siskinpier.core.orders import OrderResult, OrderStatus, SetServerState
+from siskinpier.core.configuration.orders import (
+    OrderResult,
+    OrderStatus,
+    SetServerState,
+)
+from siskinpier.core.configuration.updates import INTENTS_NAME
 from siskinpier.core.platform_results import ROUTING_INTENTS, Stored
 from siskinpier.core.state import Lifecycle
 
--- a/tests/test_crossing.py
+++ b/tests/test_crossing.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from siskinpier.core.calls import ActiveCall, Call
-from siskinpier.core.crossing import get_chance, is_crossing_worth, may_cross
+from siskinpier.core.routing.calls import ActiveCall, Call
+from siskinpier.core.routing.crossing import get_chance, is_crossing_worth, may_cross
 from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
 
 HOSTS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,9 +14,9 @@
 from bench import settings_page
 from bench.fleet import load_example
 from siskinpier import cli
-from siskinpier.core.calls import Call
-from siskinpier.core.intents import RoutingIntents
-from siskinpier.core.language import LanguageError, parse_order, parse_question
+from siskinpier.core.configuration.intents import RoutingIntents
+from siskinpier.core.language.parsing import LanguageError, parse_order, parse_question
+from siskinpier.core.routing.calls import Call
 from siskinpier.core.state import CoreSettings, HostIdentity, make_state
 from siskinpier.exits import ExitCode
 from siskinpier.metrics import HostMetrics
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -5,16 +5,14 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from siskinpier.core import language as lang, queries
-from siskinpier.core.intents import (
+from siskinpier.core.configuration.intents import (
     BackendServer,
     CallRule,
     RoutingIntents,
     ServerState,
     ServiceIntent,
 )
-from siskinpier.core.interpretation import DEFAULT_WAIT_S, Command
-from siskinpier.core.orders import (
+from siskinpier.core.configuration.orders import (
     GuardedOrder,
     Limit,
     Order,
@@ -28,6 +26,8 @@
     apply_order,
     find_undone,
 )
+from siskinpier.core.language import parsing as lang, queries
+from siskinpier.core.language.interpretation import DEFAULT_WAIT_S, Command
 from siskinpier.settings.documents import Loaded, dump_intents, parse_intents
 
 DRAIN = SetServerState(service="s", server="a", state=ServerState.DRAINING)
--- a/tests/test_noisy_neighbours.py
+++ b/tests/test_noisy_neighbours.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from siskinpier.core.intents import ServiceIntent
+from siskinpier.core.configuration.intents import ServiceIntent
 from tests.standins.slot_world import (
     Neighbours,
     ScriptedServer,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,8 +7,12 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from siskinpier.core.intents import BackendServer, RoutingIntents, ServiceIntent
-from siskinpier.core.orders import OrderResult, SetHostLeaving
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    RoutingIntents,
+    ServiceIntent,
+)
+from siskinpier.core.configuration.orders import OrderResult, SetHostLeaving
 from siskinpier.core.state import Lifecycle
 from siskinpier.edge import operators
 from siskinpier.edge.operator_requests import BODY_LIMIT_BYTES
--- a/tests/test_own_answers.py
+++ b/tests/test_own_answers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from bench.fleet import Fleet, load_example
-from siskinpier.core.intents import RoutingIntents
+from siskinpier.core.configuration.intents import RoutingIntents
 from tests.test_whole_path import wait_for_revision
 
 GAP_S: Final = 0.05
--- a/tests/test_policy_under_faults.py
+++ b/tests/test_policy_under_faults.py
@@ -4,16 +4,16 @@
 from bench.trial import SEARCH, Fault, Trial, run_trial
 from bench.virtual import World
 from bench.virtual.deployment import make_deployment
-from siskinpier.core.balance import ServerRuntime, get_slot_limit, is_ejected
-from siskinpier.core.calls import Call
-from siskinpier.core.health import record_failure, record_success
-from siskinpier.core.intents import (
+from siskinpier.core.configuration.intents import (
     BackendServer,
     CallRule,
     ProbeBudget,
     RoutingIntents,
     ServiceIntent,
 )
+from siskinpier.core.routing.balance import ServerRuntime, get_slot_limit, is_ejected
+from siskinpier.core.routing.calls import Call
+from siskinpier.core.routing.health import record_failure, record_success
 
 SEED = 5
 
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -7,7 +7,7 @@
 from bench.virtual import World
 from bench.virtual.deployment import add_host
 from bench.virtual.host import PROBE_BYTES
-from siskinpier.core.intents import ProbeBudget
+from siskinpier.core.configuration.intents import ProbeBudget
 from tests.test_policy_under_faults import call_steadily, make_service, make_world
 
 HOSTS = 18
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,15 +8,15 @@
 from bench.virtual import World
 from bench.virtual.deployment import make_deployment
 from bench.virtual.world import Answer
-from siskinpier.core.calls import Call
-from siskinpier.core.events import ReleaseQuarantine
-from siskinpier.core.intents import (
+from siskinpier.core.configuration.intents import (
     BackendServer,
     CallRule,
     RoutingIntents,
     ServiceIntent,
 )
-from siskinpier.core.quarantine import (
+from siskinpier.core.events import ReleaseQuarantine
+from siskinpier.core.routing.calls import Call
+from siskinpier.core.routing.quarantine import (
     QUARANTINE_S,
     is_quarantined,
     list_quarantine,
--- a/tests/test_questions.py
+++ b/tests/test_questions.py
@@ -6,16 +6,20 @@
 
 from bench.virtual.deployment import make_deployment
 from bench.virtual.world import World
-from siskinpier.core.calls import Call
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    RoutingIntents,
+    ServiceIntent,
+)
+from siskinpier.core.configuration.orders import OrderResult, OrderStatus
 from siskinpier.core.effects import LogDecision
-from siskinpier.core.explain import CALLS_KEPT, DECISIONS_KEPT, DecisionHistory
-from siskinpier.core.intents import BackendServer, RoutingIntents, ServiceIntent
-from siskinpier.core.interpretation import Command
-from siskinpier.core.language import parse_order
+from siskinpier.core.language.explain import CALLS_KEPT, DECISIONS_KEPT, DecisionHistory
+from siskinpier.core.language.interpretation import Command
+from siskinpier.core.language.parsing import parse_order
+from siskinpier.core.language.questions import NotFound, answer_question
 from siskinpier.core.messages import CrashReport
-from siskinpier.core.orders import OrderResult, OrderStatus
-from siskinpier.core.quarantine import take_report
-from siskinpier.core.questions import NotFound, answer_question
+from siskinpier.core.routing.calls import Call
+from siskinpier.core.routing.quarantine import take_report
 
 SERVERS = tuple(
     BackendServer(name=name, address=f"127.0.0.1:{port}", failure_domain="d1", slots=2)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from siskinpier.core.address_choice import count_hosts
-from siskinpier.core.intents import Route, WeightedService
-from siskinpier.core.routes import RouteTable, make_route_table
+from siskinpier.core.configuration.intents import Route, WeightedService
+from siskinpier.core.routing.address_choice import count_hosts
+from siskinpier.core.routing.routes import RouteTable, make_route_table
 
 
 def make_route(name: str, prefix: str, *weights: float) -> Route:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -14,9 +14,13 @@
 import pytest
 
 from bench.fleet import Fleet
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    RoutingIntents,
+    ServiceIntent,
+)
 from siskinpier.core.effects import StopHost
 from siskinpier.core.events import HostStarted, ShutdownRequested, TimerFired
-from siskinpier.core.intents import BackendServer, RoutingIntents, ServiceIntent
 from siskinpier.core.reducer import reduce
 from siskinpier.core.state import CoreSettings, HostIdentity, make_state
 from siskinpier.core.timers import ShutdownStep
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -14,7 +14,7 @@
 
 from bench.fleet import OPERATOR_TOKEN, PEER_KEY, Fleet, TlsFiles
 from siskinpier import cli
-from siskinpier.core.intents import RoutingIntents
+from siskinpier.core.configuration.intents import RoutingIntents
 from siskinpier.edge.host import run_host
 from siskinpier.edge.tls import Certificate
 from siskinpier.exits import ExitCode
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -8,8 +8,13 @@
 
 from bench.virtual import VirtualHost, World
 from bench.virtual.deployment import make_deployment
-from siskinpier.core.calls import Attempt, Call
-from siskinpier.core.claim_messages import ClaimEnding
+from siskinpier.core.claims.messages import ClaimEnding
+from siskinpier.core.configuration.intents import (
+    BackendServer,
+    CallRule,
+    RoutingIntents,
+    ServiceIntent,
+)
 from siskinpier.core.effects import (
     AbandonAttempt,
     CutReply,
@@ -28,12 +33,7 @@
     ReplyStarted,
     TimerFired,
 )
-from siskinpier.core.intents import (
-    BackendServer,
-    CallRule,
-    RoutingIntents,
-    ServiceIntent,
-)
+from siskinpier.core.routing.calls import Attempt, Call
 from siskinpier.core.timers import CallDeadline
 from siskinpier.core.verdict import (
     AttemptFailure,
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,8 +1,6 @@
 """The queue of a home: order, bound, refusals and what they say."""
 
 from bench.trial import SEARCH
-from siskinpier.core.balance import ServerRuntime
-from siskinpier.core.calls import ActiveCall, Call
 from siskinpier.core.effects import RefuseCall, SendAttempt
 from siskinpier.core.events import (
     AttemptFailed,
@@ -11,9 +9,11 @@
     ReplyStarted,
 )
 from siskinpier.core.reducer import reduce
+from siskinpier.core.routing.balance import ServerRuntime
+from siskinpier.core.routing.calls import ActiveCall, Call
+from siskinpier.core.routing.waiting import CallQueue
 from siskinpier.core.state import HostState
 from siskinpier.core.verdict import AttemptFailure, Verdict
-from siskinpier.core.waiting import CallQueue
 from tests.test_policy_under_faults import make_service, make_world
 
 NOW = 2_000_000.0
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -10,7 +10,7 @@
 
 from bench.callers import Caller, Request, Tally
 from bench.fleet import Fleet, load_example
-from siskinpier.core.intents import RoutingIntents
+from siskinpier.core.configuration.intents import RoutingIntents
 
 READY_BOUND_S = 20.0
 
