Serve metrics on the platform; find three causes from logs alone

Tests play the three kinds of failed request of docs/OPERATIONS.md over real processes and name their causes by siskinpier explain's own function.

--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -32,6 +32,7 @@
 RETRY_AFTER_S: Final = 0.1
 READINESS_PATH: Final = "/api/readiness"
 ADDRESSES_PATH: Final = "/api/resolution"
+METRICS_PATH: Final = "/metrics"
 ADDRESSES_LIMIT: Final = 64
 
 
@@ -135,7 +136,7 @@
 
 
 class SideApp:
-    """Readiness, and the addresses that callers ask for."""
+    """Readiness, the addresses that callers ask for, and metrics."""
 
     def __init__(self, *, shell: Shell) -> None:
         self._shell = shell
@@ -150,6 +151,10 @@
                 await send_bytes(send, 200 if is_ready else 503, [], b"")
             case path if path == ADDRESSES_PATH:
                 await self._send_addresses(scope, send)
+            case path if path == METRICS_PATH:
+                content_type = (b"content-type", b"text/plain; version=0.0.4")
+                body = self._shell.metrics.render()
+                await send_bytes(send, 200, [content_type], body)
             case _:
                 await _send_refusal(send, 404, "unknown path")
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -17,6 +17,7 @@
 import httpx
 import pytest
 
+from siskinpier.explanation import tell_story
 from tests.standins.app_thread import AppThread
 from tests.standins.metadata_store import MetadataStore
 from tests.standins.process import ROOT, Receive, Scope, Send
@@ -68,6 +69,7 @@
 
     name: str = "i-1"
     behave: str = "answer"
+    load: bytes = b"1,0,4,100"
     runs: list[dict[str, str]] = field(default_factory=list)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -77,7 +79,7 @@
         headers = {k.decode(): v.decode() for k, v in scope["headers"]}
         while (await receive()).get("more_body", False):
             pass
-        extra = [(b"x-server-load", b"1,0,4,100")]
+        extra = [(b"x-server-load", self.load)]
         if scope["path"] == "/health":
             await self._reply(send, 200, extra, b"")
             return
@@ -334,6 +336,56 @@
         assert deployment.host.ask("/find/").status_code == 200
 
 
+class TestExplain:
+    """The three kinds of failed request of docs/OPERATIONS.md, from logs alone."""
+
+    def explain(self, deployment: Deployment, request_id: str) -> str:
+        """Return the cause that the logs of the host tell."""
+        rows = deployment.host.read_log().splitlines()
+        return tell_story(request_id, [("front-1", rows)]).cause
+
+    def test_refusal_by_admission(self, deployment: Deployment) -> None:
+        host = deployment.host
+        deployment.behave("slow")
+        for n in range(3):
+            host.ask("/search/", X_Request_Id=f"w{n}")
+        replies: dict[str, int] = {}
+
+        def call(name: str) -> None:
+            replies[name] = host.ask("/search/", X_Request_Id=name).status_code
+
+        callers = [threading.Thread(target=call, args=(f"c{n}",)) for n in range(40)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join(WITHIN_S)
+        refused = [name for name, status in replies.items() if status == 503]
+        assert refused
+        cause = self.explain(deployment, refused[0])
+        assert cause.startswith("refused with 503, verdict not-run: Overloaded")
+        assert "sent to no backend server" in cause
+
+    def test_unsafe_request_that_ended_with_504(self, deployment: Deployment) -> None:
+        deployment.behave("slow")
+        reply = deployment.host.ask(
+            "/pay/1", method="POST", X_Deadline_Ms="200", X_Request_Id="pay-1"
+        )
+        assert reply.status_code == 504
+        cause = self.explain(deployment, "pay-1")
+        assert "504, verdict may-have-run: Deadline passed" in cause
+        assert "it had been sent to i-" in cause
+
+    def test_late_answer_of_a_slow_server(self, deployment: Deployment) -> None:
+        deployment.behave("slow")
+        for backend in deployment.backends.values():
+            backend.load = b"1,0,4,700"
+        reply = deployment.host.ask("/pay/1", method="POST", X_Request_Id="pay-2")
+        assert reply.status_code == 200
+        cause = self.explain(deployment, "pay-2")
+        assert cause.startswith("answered by i-")
+        assert "7.0 times slower than usual" in cause
+
+
 class TestProcess:
     """Signals, addresses and settings."""
 
@@ -344,6 +396,13 @@
         answer = httpx.get(url, params=query, trust_env=False).json()
         assert answer == {"addresses": [f"127.0.0.1:{host.front}"], "ttlS": 5.0}
 
+    def test_metrics(self, deployment: Deployment) -> None:
+        deployment.host.ask("/search/")
+        url = f"http://127.0.0.1:{deployment.host.ready}/metrics"
+        text = httpx.get(url, trust_env=False).text
+        assert 'siskinpier_decisions_total{decision="answer"} 1.0' in text
+        assert "siskinpier_platform_calls_total" in text
+
     def test_hangup_reads_settings_again(self, deployment: Deployment) -> None:
         host = deployment.host
         host.path.write_text(
