Break the circle of imports in bench/virtual

Servers and the platform of the virtual world need its time alone, so Timeline holds the event heap and the generator, and World builds on it.

--- a/bench/virtual/deployment.py
+++ b/bench/virtual/deployment.py
@@ -20,7 +20,8 @@
 ) -> World:
     """Return a world in which every host has the intents in force."""
     world = World(seed=seed)
-    platform = VirtualPlatform(world=world)
+    platform = VirtualPlatform(timeline=world)
+    world.platform = platform
     domains = list_domains(intents)
     for service in intents.services:
         for server in service.servers:
@@ -52,14 +53,15 @@
 
 def make_server(world: World, server: BackendServer, mean_s: float) -> VirtualServer:
     """Add the fake of a declared backend server."""
-    return VirtualServer(
-        world=world,
+    made = VirtualServer(
+        timeline=world,
         name=server.name,
         address=server.address,
         failure_domain=server.failure_domain,
         slots=server.slots,
         mean_s=mean_s,
     )
+    return world.add_server(made)
 
 
 def list_domains(intents: RoutingIntents) -> list[str]:
--- a/bench/virtual/platform.py
+++ b/bench/virtual/platform.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 from siskinpier.core.platform_results import (
     Conflicted,
@@ -17,8 +17,7 @@
 )
 from tests.standins.object_store import ObjectStore
 
-if TYPE_CHECKING:
-    from .world import World
+from .timeline import Timeline
 
 LATENCY_S: Final = 0.003
 LATE_S: Final = 0.5
@@ -32,8 +31,8 @@
     told nothing. `history` holds every write that took effect.
     """
 
-    def __init__(self, *, world: "World") -> None:
-        self.world = world
+    def __init__(self, *, timeline: Timeline) -> None:
+        self.timeline = timeline
         self.store = ObjectStore()
         self.latency_s = LATENCY_S
         self.is_down = False
@@ -44,12 +43,11 @@
         self.calls: Counter[str] = Counter()
         self.call_times: list[tuple[float, str]] = []
         self.watchers: dict[str, Callable[[Stored], None]] = {}
-        world.platform = self
 
     def read(self, kind: str, name: str, done: Callable[[ReadResult], None]) -> None:
         """Read an object; the answer comes after the latency."""
         self._count("read")
-        self.world.after(self.latency_s, lambda: self._read(kind, name, done))
+        self.timeline.after(self.latency_s, lambda: self._read(kind, name, done))
 
     def list_kind(
         self, kind: str, done: Callable[[Listed | Unavailable], None]
@@ -63,7 +61,7 @@
             else:
                 done(self.store.list_kind(kind=kind))
 
-        self.world.after(self.latency_s, finish)
+        self.timeline.after(self.latency_s, finish)
 
     def write(
         self,
@@ -84,16 +82,16 @@
                 self.late_writes -= 1
                 done(Unknown(reason="no reply"))
                 late = partial(self._write, kind, name, spec, expected_version)
-                self.world.after(self.late_by_s, late)
+                self.timeline.after(self.late_by_s, late)
                 return
             result = self._write(kind, name, spec, expected_version)
             if self.lose_replies > 0:
                 self.lose_replies -= 1
-                self.world.after(1.0, lambda: done(Unknown(reason="reply lost")))
+                self.timeline.after(1.0, lambda: done(Unknown(reason="reply lost")))
                 return
             done(result)
 
-        self.world.after(self.latency_s, finish)
+        self.timeline.after(self.latency_s, finish)
 
     def watch(
         self,
@@ -109,7 +107,7 @@
         for _, stored in self.history:
             is_newer = version is not None and int(stored.version) > int(version)
             if stored.kind == kind and is_newer:
-                self.world.after(self.latency_s, partial(take, stored))
+                self.timeline.after(self.latency_s, partial(take, stored))
         self.watchers[f"{watcher}/{kind}"] = take
 
     def unwatch(self, watcher: str, kind: str) -> None:
@@ -138,15 +136,15 @@
             result = Conflicted() if isinstance(updated, Missing) else updated
         if not isinstance(result, Conflicted):
             stored = Stored(kind=kind, name=name, version=result.version, spec=spec)
-            self.history.append((self.world.now, stored))
+            self.history.append((self.timeline.now, stored))
             self._notify(stored)
         return result
 
     def _notify(self, stored: Stored) -> None:
         for key, take in list(self.watchers.items()):
             if key.endswith(f"/{stored.kind}"):
-                self.world.after(self.latency_s, lambda take=take: take(stored))
+                self.timeline.after(self.latency_s, lambda take=take: take(stored))
 
     def _count(self, kind: str) -> None:
         self.calls[kind] += 1
-        self.call_times.append((self.world.now, kind))
+        self.call_times.append((self.timeline.now, kind))
--- a/bench/virtual/servers.py
+++ b/bench/virtual/servers.py
@@ -3,13 +3,11 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import AttemptFailure
 
-if TYPE_CHECKING:
-    from .world import World
+from .timeline import Timeline
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,14 +47,14 @@
     def __init__(
         self,
         *,
-        world: "World",
+        timeline: Timeline,
         name: str,
         address: str,
         failure_domain: str,
         slots: int,
         mean_s: float,
     ) -> None:
-        self.world = world
+        self.timeline = timeline
         self.name = name
         self.address = address
         self.failure_domain = failure_domain
@@ -76,7 +74,6 @@
         self.probe_times: list[float] = []
         self._running: list[Work] = []
         self._waiting: deque[Work] = deque()
-        world.servers[address] = self
 
     def accept(self, work: Work) -> None:
         """Take a request from the network."""
@@ -103,7 +100,7 @@
     def answer_probe(self) -> ServerReply | None:
         """Return the health endpoint's reply, or None when the server is down."""
         self.probes += 1
-        self.probe_times.append(self.world.now)
+        self.probe_times.append(self.timeline.now)
         if self.is_down:
             return None
         return self._make_reply(503 if self.is_draining else 200, None)
@@ -117,7 +114,7 @@
         self._waiting.clear()
         for work in broken:
             work.fail(AttemptFailure.RESET)
-        self.world.after(self.restart_s, self._restart)
+        self.timeline.after(self.restart_s, self._restart)
 
     def _restart(self) -> None:
         self.is_down = False
@@ -125,12 +122,12 @@
     def _start(self, work: Work) -> None:
         work.has_started = True
         self._running.append(work)
-        self.journal.append(Run(at=self.world.now, server=self.name, call=work.call))
+        self.journal.append(Run(at=self.timeline.now, server=self.name, call=work.call))
         if self.crashes_on(work.call):
             self.crash()
             return
-        length_s = self.world.rng.expovariate(1.0 / (self.mean_s * self.slow_factor))
-        self.world.after(length_s, lambda: self._finish(work))
+        length_s = self.timeline.rng.expovariate(1.0 / (self.mean_s * self.slow_factor))
+        self.timeline.after(length_s, lambda: self._finish(work))
 
     def _finish(self, work: Work) -> None:
         if work not in self._running:
--- a/bench/virtual/world.py
+++ b/bench/virtual/world.py
@@ -1,7 +1,5 @@
-"""The event heap, the network and the parties of one run in virtual time."""
+"""The network and the parties of one run in virtual time."""
 
-import heapq
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
@@ -9,12 +7,14 @@
 from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import Verdict
 
+from .platform import VirtualPlatform
+from .servers import VirtualServer
+from .timeline import Timeline
+
 if TYPE_CHECKING:
+    # A host knows its world, and the world its hosts.
     from .host import VirtualHost
-    from .platform import VirtualPlatform
-    from .servers import VirtualServer
 
-START_S: Final = 1_000_000.0
 SAME_DOMAIN_S: Final = 0.0002
 OTHER_DOMAIN_S: Final = 0.0015
 
@@ -59,40 +59,22 @@
         return self.same_s if domain == other else self.other_s
 
 
-class World:
+class World(Timeline):
     """One run: the same seed and the same calls give the same run."""
 
     def __init__(self, *, seed: int) -> None:
-        self.now = START_S
-        self.rng = random.Random(seed)
+        super().__init__(seed=seed)
         self.network = Network()
         self.hosts: dict[str, VirtualHost] = {}
         self.servers: dict[str, VirtualServer] = {}
         self.platform: VirtualPlatform | None = None
         self.answers: dict[str, Answer] = {}
         self.answer_hooks: list[Callable[[Answer], None]] = []
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._sequence = 0
-
-    def at(self, when: float, action: Callable[[], None]) -> None:
-        """Run an action at a time, after those already set for it."""
-        self._sequence += 1
-        heapq.heappush(self._heap, (max(when, self.now), self._sequence, action))
-
-    def after(self, delay_s: float, action: Callable[[], None]) -> None:
-        """Run an action after a delay."""
-        self.at(self.now + delay_s, action)
-
-    def run_until(self, when: float) -> None:
-        """Run every action due up to a time."""
-        while self._heap and self._heap[0][0] <= when:
-            self.now, _, action = heapq.heappop(self._heap)
-            action()
-        self.now = when
-
-    def run_for(self, length_s: float) -> None:
-        """Run for a time."""
-        self.run_until(self.now + length_s)
+
+    def add_server(self, server: VirtualServer) -> VirtualServer:
+        """Let hosts reach a server at its address."""
+        self.servers[server.address] = server
+        return server
 
     def get_host_by_address(self, address: str) -> "VirtualHost | None":
         """Return the host with this caller or peer address."""
