Follow the callers' limits of the configuration; drop fields that nothing reads

A deployment that allows longer idle times would have seen kept connections closed under requests.

Change: bounds on heads, bodies and idle time follow the configuration for new connections and bodies. The messages between hosts changed, so their version is 3.

--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -63,8 +63,6 @@
     servers_register: bool = False
     # Homes grant slots, in place of taking forwarded calls.
     grants_slots: bool = False
-    # Hosts that watch the platform, in each failure domain.
-    watchers_per_domain: int = 2
     # Retries, and as many hedges, that a host may make of a service in a burst.
     repeat_burst: float = RETRY_TOKENS_KEPT
 
@@ -156,7 +154,6 @@
     heard_at: float = 0.0
     lost_at: float | None = None
     regained_at: float = 0.0
-    is_substitute: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinpier/edge/codec.py
+++ b/src/siskinpier/edge/codec.py
@@ -27,7 +27,7 @@
     SpareNotice,
 )
 
-PROTOCOL_VERSION: Final = 2
+PROTOCOL_VERSION: Final = 3
 MESSAGE_LIMIT_BYTES: Final = 1_048_576
 
 _ADAPTERS: Final[dict[str, TypeAdapter[Any]]] = {
--- a/src/siskinpier/edge/limits.py
+++ b/src/siskinpier/edge/limits.py
@@ -87,6 +87,7 @@
     ) -> None:
         super().__init__(*args, **kwargs)
         self._limits = limits
+        self.timeout_keep_alive = limits.keep_alive_s  # type: ignore[assignment]
         self._metrics = metrics
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -52,6 +52,12 @@
                 shell.handle(ShutdownRequested(now=shell.clock()))
 
 
+def _make_protocol(shell: Shell, *args: Any, **kwargs: Any) -> CallerProtocol:
+    """Return a caller's connection under the limits of now."""
+    limits = shell.settings.limits
+    return CallerProtocol(*args, limits=limits, metrics=shell.metrics, **kwargs)
+
+
 def make_caller_server(
     shell: Shell, app: Any, certificate: Certificate | None = None
 ) -> uvicorn.Server:
@@ -59,9 +65,7 @@
     settings = shell.settings
     cfg = uvicorn.Config(
         app,
-        http=partial(  # type: ignore[arg-type]
-            CallerProtocol, limits=settings.limits, metrics=shell.metrics
-        ),
+        http=partial(_make_protocol, shell),  # type: ignore[arg-type]
         loop="none",
         lifespan="off",
         access_log=False,
--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -3,7 +3,7 @@
 An entry that cannot be read is passed over alone, with its reason.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Annotated, Any, Final, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -17,10 +17,13 @@
 )
 from ..core.events import ListedHost
 from ..core.messages import RegisteredServer
+from ..settings.host import LimitSettings
 from .settings import AdapterSettings
 
 # Urgencies of the project reach from 0 to 7; a rank beyond counts as the last.
 LEAST_URGENCY: Final = 7
+# Room for the request line, which the bound on headers may leave out.
+REQUEST_LINE_BYTES: Final = 8_192
 # The shares of the shared budget for second sends that retries and hedges take.
 RETRY_PART: Final = 0.4
 HEDGE_PART: Final = 0.3
@@ -185,6 +188,16 @@
     return Configuration(intents=intents, limits=limits)
 
 
+def apply_limits(limits: LimitSettings, told: CallerLimits) -> LimitSettings:
+    """Return the limits under which callers keep within what they were told."""
+    return replace(
+        limits,
+        header_bytes=told.header_bytes + REQUEST_LINE_BYTES,
+        body_bytes=told.body_bytes,
+        keep_alive_s=told.idle_timeout_s,
+    )
+
+
 def decode_host(name: str, spec: Any) -> ListedHost | Unreadable:
     """Return an entry host of its object, which hosts write themselves."""
     try:
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any, Final
 
 import anyio
@@ -20,6 +21,7 @@
 from ..logs import log_event, log_warning
 from .documents import (
     Unreadable,
+    apply_limits,
     decode_configuration,
     decode_host,
     decode_server,
@@ -210,6 +212,10 @@
             self._note_unreadable(f"config/{item.name}", decoded)
             return
         shell = self._shell
+        limits = apply_limits(shell.settings.limits, decoded.limits)
+        if limits != shell.settings.limits:
+            shell.settings = replace(shell.settings, limits=limits)
+            log_event("limits", idle_s=limits.keep_alive_s, body=limits.body_bytes)
         seen = IntentsSeen(
             now=shell.clock(), version=str(item.revision), intents=decoded.intents
         )
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -244,9 +244,7 @@
                 callers=f"{name}:1",
                 peers=f"{name}:2",
             ),
-            settings=CoreSettings(
-                servers_register=True, grants_slots=True, watchers_per_domain=1
-            ),
+            settings=CoreSettings(servers_register=True, grants_slots=True),
             parse_intents=lambda _: None,
             seed=seed,
         )
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -9,6 +9,7 @@
 from siskinpier.platform.documents import (
     Configuration,
     Unreadable,
+    apply_limits,
     decode_configuration,
     decode_host,
     decode_server,
@@ -16,6 +17,7 @@
 )
 from siskinpier.platform.fields import parse_load
 from siskinpier.platform.settings import AdapterSettings, SettingsError, parse_settings
+from siskinpier.settings.host import LimitSettings
 
 SETTINGS_TEXT = """
 nodeName=front-1
@@ -185,6 +187,18 @@
         assert isinstance(decoded, Unreadable)
 
 
+class TestLimits:
+    """Callers may use what the operator told them."""
+
+    def test_limits_follow_the_configuration(self) -> None:
+        told = {"headerBytes": 4096, "bodyBytes": 9, "idleTimeoutS": 60}
+        decoded = decode_configuration({**CONFIG, "limits": told}, make_settings())
+        assert isinstance(decoded, Configuration)
+        limits = apply_limits(LimitSettings(), decoded.limits)
+        assert (limits.keep_alive_s, limits.body_bytes) == (60.0, 9)
+        assert limits.header_bytes >= 4096
+
+
 class TestHosts:
     """Objects of the entry hosts, which they write themselves."""
 
