--- a/src/siskinpier/core/cluster/relays.py
+++ b/src/siskinpier/core/cluster/relays.py
@@ -24,6 +24,7 @@
 # much longer each further host waits.
 SUBSTITUTE_AFTER_S: Final = 0.8
 SUBSTITUTE_STEP_S: Final = 0.25
+# Makes a time lie just beyond a bound, seconds.
 LEAST_S: Final = 0.001
 # How long a fresh host waits for the list of hosts, and then for a relay's word.
 START_PATIENCE_S: Final = 0.3
