Let a substitute pass for a relay only once its own watch was answered

Ruled out: the store's notice (the other domains had the version 0.01 s after the acknowledgement); gathering of changes; the time to list (15 ms at the host that was served).

Change: a watch that begins forgets the earlier confirmation; the first confirmation sends a word at once; the timer falls on the end of a host's patience, not on the next of its 0.3 s steps; steps of 0.15 s, so that six hosts in a row fit the bound.

After: the test with six hosts turned away, which failed before, sees the seventh within 0.95 s.

--- a/src/siskinpier/core/cluster/relays.py
+++ b/src/siskinpier/core/cluster/relays.py
@@ -23,7 +23,7 @@
 # Time without a relay's word until the next host by rank watches itself, and how
 # much longer each further host waits.
 SUBSTITUTE_AFTER_S: Final = 0.8
-SUBSTITUTE_STEP_S: Final = 0.25
+SUBSTITUTE_STEP_S: Final = 0.15
 # Makes a time lie just beyond a bound, seconds.
 LEAST_S: Final = 0.001
 # How long a fresh host waits for the list of hosts, and then for a relay's word.
@@ -47,6 +47,8 @@
     watching = (rank == 0 and is_settled) or is_unheard
     if watching != state.watching:
         state.watching = watching
+        # What an earlier watch confirmed says nothing of this one.
+        relay.confirmed_at = 0.0
         out.append(WatchIntents(watching=watching))
         fields: dict[str, object] = {
             "watching": watching,
@@ -56,7 +58,10 @@
         out.append(LogDecision(event="watch", fields=fields))
     if state.watching and is_confirmed(state):
         tell_domain(state, _make_word(state, rank), out)
-    out.append(SetTimer(timer=RelayDue(), at=now + WORD_INTERVAL_S))
+    due_at = now + WORD_INTERVAL_S
+    if not state.watching:
+        due_at = min(due_at, max(now, relay.heard_at + patience_s) + LEAST_S)
+    out.append(SetTimer(timer=RelayDue(), at=due_at))
 
 
 def is_confirmed(state: HostState) -> bool:
@@ -102,14 +107,18 @@
 def take_reached(state: HostState, event: PlatformReached, out: list[Effect]) -> None:
     """Note that the platform answers this host."""
     relay = state.relay
+    was_confirmed = is_confirmed(state)
     relay.confirmed_at = event.now
-    if relay.lost_at is None:
-        return
-    fields: dict[str, object] = {"after_s": round(event.now - relay.lost_at, 3)}
-    out.append(LogDecision(event="platform-regained", fields=fields))
-    relay.lost_at = None
-    relay.regained_at = event.now
-    state.platform_fault = ""
+    if relay.lost_at is not None:
+        fields: dict[str, object] = {"after_s": round(event.now - relay.lost_at, 3)}
+        out.append(LogDecision(event="platform-regained", fields=fields))
+        relay.lost_at = None
+        relay.regained_at = event.now
+        state.platform_fault = ""
+    if state.watching and not was_confirmed:
+        # Keeps further hosts from beginning to watch.
+        rank = _get_rank(state, event.now)
+        tell_domain(state, _make_word(state, rank), out)
 
 
 def pass_on_intents(state: HostState, out: list[Effect]) -> None:
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -55,6 +55,7 @@
 
 NEAR_S: Final = 0.0002
 FAR_S: Final = 0.0014
+STORE_S: Final = 0.01
 VIRTUAL_HOST: Final = "films.example"
 
 
@@ -170,6 +171,8 @@
         self.logs: list[tuple[str, LogDecision]] = []
         self.messages = 0
         self.dead: set[str] = set()
+        # Hosts that the platform leaves without answers.
+        self.turned_away: set[str] = set()
         self.drop: Callable[[str, str, Message], bool] = lambda a, b, m: False
         self._arrived: dict[str, float] = {}
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -305,9 +308,15 @@
                 )
             case LogDecision():
                 self.logs.append((host, effect))
+            case WatchIntents(watching=True):
+                self.after(STORE_S, lambda: self._confirm_watch(host))
             case RelayReply() | CutReply() | WatchIntents():
                 pass
 
+    def _confirm_watch(self, host: str) -> None:
+        if host not in self.turned_away:
+            self.handle(host, PlatformReached(now=self.now))
+
     def _answer(
         self,
         call_id: str,
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,9 +1,15 @@
 """Tests of the registry of backend servers, and of relays that watch it."""
 
+from siskinpier.core.cluster.relays import is_confirmed
+from siskinpier.core.cluster.rendezvous import rank_nodes
 from siskinpier.core.events import PlatformLost, PlatformReached, ServersChanged
 from siskinpier.core.messages import RelayWord, ServersNotice
 from tests.standins.slot_world import ScriptedServer, SlotWorld
 
+# Time in which a new configuration must be in force, and what a relay may take of it
+# to notice that the platform does not answer, seconds.
+CONFIG_BOUND_S = 2.0
+NOTICE_S = 1.05
 HOSTS = {"h1": "d1", "h2": "d1", "h3": "d1"}
 
 
@@ -54,6 +60,20 @@
         watching = [n for n, s in world.states.items() if s.watching and n != relay]
         assert len(watching) == 1
 
+    def test_substitutes_that_the_platform_turns_away_do_not_pass_for_relays(
+        self,
+    ) -> None:
+        # Six of eight hosts are turned away; the relay needs a second to notice.
+        hosts = {f"h{n}": "d1" for n in range(8)}
+        world = SlotWorld(hosts=hosts, servers=[])
+        ranked = rank_nodes("watch/d1", list(hosts))
+        world.turned_away = set(ranked[:6])
+        world.handle(ranked[0], PlatformLost(now=world.now, reason="silent"))
+        world.run_for(CONFIG_BOUND_S - NOTICE_S)
+        follower = world.states[ranked[6]]
+        assert follower.watching
+        assert is_confirmed(follower)
+
     def test_lost_word_fetches_what_is_missing(self) -> None:
         world = make_world()
         relay = find_relay(world)
