Let a host that hears no other try a suspected call at one server only

Cause: a host counts two crashes before it refuses a call, also when no other host can tell it of crashes elsewhere; so each of N cut hosts spent two servers on one call.

Ruled out: writing crashes to the platform as the whole mend. Hosts cut off a moment ago neither miss each other yet nor watch the platform by themselves, so a caller that comes back at once finds a host that cannot know, whatever is written; a read for each call is not affordable.

Conclusion: the bound where hosts reach neither each other nor the platform is the number of hosts that a caller reaches; the test checks one server a host.

--- a/src/siskinpier/core/routing/quarantine.py
+++ b/src/siskinpier/core/routing/quarantine.py
@@ -28,6 +28,9 @@
 SUSPICION_S: Final = 300.0
 QUARANTINE_S: Final = 900.0
 SUSPECTS_LIMIT: Final = 2048
+# When a call comes back that a host without contact to others refused, seconds: by
+# then two heartbeats were due.
+NO_CONTACT_S: Final = 1.0
 DISPROOF_S: Final = 10.0
 
 _BREAKS: Final = frozenset(
@@ -49,18 +52,40 @@
 
 def is_quarantined(state: HostState, call: Call, now: float) -> bool:
     """Return True if the call must not be sent."""
-    suspect = state.quarantine.suspects.get(call.fingerprint)
-    return suspect is not None and suspect.until is not None and now < suspect.until
+    return _get_refused_for_s(state, call, now) > 0.0
 
 
 def judge_quarantine(state: HostState, call: Call, now: float) -> Problem | None:
     """Return the refusal of a call that is quarantined, or None."""
-    suspect = state.quarantine.suspects.get(call.fingerprint)
-    if suspect is None or suspect.until is None or now >= suspect.until:
+    refused_for_s = _get_refused_for_s(state, call, now)
+    if refused_for_s <= 0.0:
         return None
     is_keyed = call.key is not None and not call.claimed
     verdict = Verdict.MAY_HAVE_RUN if is_keyed else Verdict.NOT_RUN
-    return make_quarantined(call.fingerprint, verdict, suspect.until - now)
+    return make_quarantined(call.fingerprint, verdict, refused_for_s)
+
+
+def _get_refused_for_s(state: HostState, call: Call, now: float) -> float:
+    """Return for how long a call must not be sent; 0 if it may be.
+
+    A host that hears no other does not know of crashes elsewhere, so one crash that
+    it saw itself is enough.
+    """
+    suspect = state.quarantine.suspects.get(call.fingerprint)
+    if suspect is None:
+        return 0.0
+    if suspect.until is not None:
+        return max(0.0, suspect.until - now)
+    return NO_CONTACT_S if is_without_contact(state) else 0.0
+
+
+def is_without_contact(state: HostState) -> bool:
+    """Return True if there are other hosts and none of them is heard."""
+    members = state.members.values()
+    return bool(members) and all(
+        member.last_heard is None or member.silent_since is not None
+        for member in members
+    )
 
 
 def list_quarantine(state: HostState, now: float) -> list[Quarantined]:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -29,6 +29,8 @@
 CRASHES_LIMIT: Final = 2
 TRIES: Final = 8
 AT_ONCE_S: Final = 0.1
+# Time after which every host has noticed that it hears no other.
+NOTICED_S: Final = 8.0
 
 
 def make_world(seed: int = 1) -> World:
@@ -63,9 +65,10 @@
 class Sender:
     """A caller that sends one call again, through another host each time."""
 
-    def __init__(self, world: World, method: str) -> None:
+    def __init__(self, world: World, method: str, tries: int = TRIES) -> None:
         self.world = world
         self.method = method
+        self.tries = tries
         self.answers: list[Answer] = []
         for server in world.servers.values():
             server.crashes_on = lambda call: call.fingerprint == "killer"
@@ -80,7 +83,7 @@
     def _take(self, answer: Answer) -> None:
         if answer.call_id.startswith("killer"):
             self.answers.append(answer)
-            if len(self.answers) < TRIES:
+            if len(self.answers) < self.tries:
                 self.send()
 
     def count_crashes(self) -> int:
@@ -175,15 +178,50 @@
     return calls, crashes, len(quarantined)
 
 
+def cut_hosts(world: World) -> None:
+    """Cut every host off from every other."""
+    for host in world.hosts:
+        for other in world.hosts:
+            if host != other:
+                world.network.cut(host, other)
+
+
 class TestCutHosts:
     """Hosts that do not hear one another cannot tell of a crash."""
 
+    @pytest.mark.parametrize("method", ["GET", "POST"])
+    def test_each_host_without_contact_tries_one_server(self, method: str) -> None:
+        # Neither each other nor the platform tells them; a caller reaches all six.
+        world = make_world()
+        cut_hosts(world)
+        assert world.platform is not None
+        world.platform.is_down = True
+        world.run_for(NOTICED_S)
+        sender = Sender(world, method)
+        sender.send()
+        world.run_for(TRIES * DEADLINE_S)
+        assert len(sender.answers) == TRIES
+        assert sender.count_crashes() <= HOSTS
+        suspects = [h.state.quarantine.suspects for h in world.hosts.values()]
+        assert all(len(s["killer"].crashes) == 1 for s in suspects if s)
+
+    def test_call_is_served_again_once_hosts_hear_each_other(self) -> None:
+        world = make_world()
+        cut_hosts(world)
+        world.run_for(NOTICED_S)
+        Sender(world, "GET", tries=1).send()
+        world.run_for(1.0)
+        state = world.hosts["host-0"].state
+        call = make_call(world, "again", "GET", "killer")
+        assert is_quarantined(state, call, world.now)
+        world.network.mend()
+        world.run_for(5.0)
+        assert len(state.quarantine.suspects["killer"].crashes) == 1
+        assert not is_quarantined(state, call, world.now)
+
     def test_stopped_after_two_servers_while_hosts_are_cut_off(self) -> None:
         world = make_world()
-        for host in world.hosts:
-            for other in world.hosts:
-                if host != other:
-                    world.network.cut(host, other)
+        cut_hosts(world)
         sender = Sender(world, "GET")
         sender.send()
         world.run_for(TRIES * DEADLINE_S)
