Add a fault soak over real processes, with a checker of the promises

What it is: soak/ (schedule from a seed, links that delay, reset, cut and silence, hosts and backend servers as processes, callers that keep their connections, a checker that judges from what they saw). Two settings of our own in the platform's file make it possible: peersTold (an address that differs from the one listened on, as behind address translation) and peerKey (hosts that reach the store by different addresses shared no key).

Ruled out: rewriting addresses in the store's stand-in, as heartbeats carry them too; ports of 127.0.0.1, which connections of other processes take while a host is down (seen: two hosts could not start, address in use).

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,13 @@
 VENV ?= .venv
 # Test files run side by side; each file runs in one process, in order.
 WORKERS ?= 4
+# Fresh seeds that `make soak` plays.
+SEEDS ?= 10
 PYTHON := $(VENV)/bin/python
-SOURCES := $(wildcard src tests bench)
+SOURCES := $(wildcard src tests bench soak)
 export PYTHONPATH := src:.
 
-.PHONY: test format lint demo binary bench bench-quick capacity lock
+.PHONY: soak soak-planted test format lint demo binary bench bench-quick capacity lock
 
 $(VENV)/installed: requirements.lock
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -36,6 +38,13 @@
 bench-quick: $(VENV)/installed
 	$(PYTHON) -m bench.run --quick
 
+soak: $(VENV)/installed
+	$(PYTHON) -m soak regressions
+	$(PYTHON) -m soak many --seeds $(SEEDS)
+
+soak-planted: $(VENV)/installed
+	$(PYTHON) -m soak planted
+
 capacity: $(VENV)/installed
 	$(PYTHON) -m bench.capacity
 
--- /dev/null
+++ b/soak/backend.py
@@ -0,0 +1,152 @@
+"""A backend server of the soak, as a process of its own.
+
+It prints `ready port=N`, and writes each run of a request to its journal as it begins
+and ends. Work takes longer in spells, as neighbours on its machine would make it.
+"""
+
+import hashlib
+import json
+import os
+import time
+from random import Random
+from typing import Final
+
+import anyio
+import fire
+
+from soak.history import RunBegan, RunEnded, dump_entry
+from tests.standins.process import Receive, Scope, Send, serve_app
+
+SPELL_S: Final = 0.5
+SLOW_SHARE: Final = 0.2
+SLOWDOWN: Final = 5.0
+FAILED_SHARE: Final = 0.01
+
+
+class SoakBackend:
+    """Runs requests in slots, with a short queue before them."""
+
+    def __init__(
+        self, *, name: str, service: str, slots: int, work_s: float, journal: str
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._slots = slots
+        self._work_s = work_s
+        self._journal = os.open(journal, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        self._rng = Random(name)
+        self._running = 0
+        self._waiting = 0
+        self._free = anyio.Semaphore(slots)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        headers = {k.decode().lower(): v.decode() for k, v in scope["headers"]}
+        body = await _read(receive)
+        if scope["path"] == "/health":
+            extra = [(b"x-instance-id", self._name.encode())]
+            await self._reply(send, 200, extra, b"")
+            return
+        request = headers.get("x-request-id", "")
+        extra = [(b"x-request-id", request.encode())]
+        if headers.get("x-expected-instance") != self._name:
+            await self._reply(send, 421, extra, b"")
+        elif self._waiting >= self._slots:
+            await self._reply(send, 503, [*extra, (b"x-not-executed", b"1")], b"")
+        else:
+            await self._run(request, scope["path"], body, extra, send)
+
+    async def _run(
+        self,
+        request: str,
+        path: str,
+        body: bytes,
+        extra: list[tuple[bytes, bytes]],
+        send: Send,
+    ) -> None:
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            status = await self._work(request, path, body)
+        finally:
+            self._running -= 1
+            self._free.release()
+        signature = f"{self._name}.{request}".encode()
+        content = json.dumps({"request": request, "server": self._name}).encode()
+        extra = [*extra, (b"x-response-signature", signature)]
+        await self._reply(send, status, extra, content)
+
+    async def _work(self, request: str, path: str, body: bytes) -> int:
+        self._write(
+            RunBegan(
+                at=time.monotonic(),
+                request=request,
+                server=self._name,
+                service=self._service,
+                path=path,
+                body_digest=hashlib.sha256(body).hexdigest(),
+            )
+        )
+        work_s = self._rng.uniform(0.5, 1.5) * self._work_s
+        await anyio.sleep(work_s * self._get_slowdown())
+        status = 500 if self._rng.random() < FAILED_SHARE else 200
+        self._write(
+            RunEnded(
+                at=time.monotonic(), request=request, server=self._name, status=status
+            )
+        )
+        return status
+
+    def _get_slowdown(self) -> float:
+        spell = int(time.monotonic() / SPELL_S)
+        is_slow = Random(f"{self._name}/{spell}").random() < SLOW_SHARE
+        return SLOWDOWN if is_slow else 1.0
+
+    def _write(self, entry: RunBegan | RunEnded) -> None:
+        os.write(self._journal, dump_entry(entry).encode() + b"\n")
+
+    async def _reply(
+        self, send: Send, status: int, extra: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        slow = int(100 * self._get_slowdown())
+        load = f"{self._running},{self._waiting},{self._slots},{slow}"
+        headers = [
+            *extra,
+            (b"x-server-load", load.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+async def _read(receive: Receive) -> bytes:
+    body = b""
+    while True:
+        message = await receive()
+        body += bytes(message.get("body", b""))
+        if not message.get("more_body", False):
+            return body
+
+
+def main(*, name: str, service: str, journal: str, slots: int, work_ms: float) -> None:
+    """Serve on a loopback port of the system's choice."""
+    app = SoakBackend(
+        name=str(name),
+        service=str(service),
+        slots=slots,
+        work_s=work_ms / 1000,
+        journal=str(journal),
+    )
+    serve_app(app, port=0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,222 @@
+"""The deployment of a run: store, links, backend servers, hosts, configuration."""
+
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+
+from tests.standins.app_thread import AppThread
+from tests.standins.metadata_store import MetadataStore
+
+from .callers import VIRTUAL_HOST, CallerHost
+from .history import Configured, Entry, load_entry
+from .links import Link
+from .processes import (
+    HostPlan,
+    HostProcess,
+    ServerProcess,
+    find_ports,
+    make_loopback_ip,
+)
+
+SERVICES: Final = ("films", "sounds", "rights")
+FAILURE_DOMAINS: Final = ("z1", "z2")
+READY_WITHIN_S: Final = 60.0
+READY_POLL_S: Final = 0.1
+SLOTS: Final = 2
+WORK_MS: Final = 60.0
+
+
+class Deployment:
+    """What runs, and how it may be changed; times are of the monotonic clock."""
+
+    def __init__(
+        self, *, folder: Path, hosts: int, servers: int, planted: str = ""
+    ) -> None:
+        self.store = MetadataStore()
+        self.hosts: dict[str, HostProcess] = {}
+        self.servers: dict[str, ServerProcess] = {}
+        self.links: dict[str, Link] = {}
+        self.version = 7
+        self._folder = folder
+        self._planted = planted
+        self._host_names = [f"h{n}" for n in range(hosts)]
+        self._server_names = [f"s{n}" for n in range(servers)]
+        self._served = AppThread(self.store)
+        self._lives = 0
+        self._offsets: dict[Path, int] = {}
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Start everything, and wait until all hosts are ready."""
+        self._served.__enter__()
+        store_port = int(self._served.address.rpartition(":")[2])
+        for server in self._server_names:
+            await self._add_link(Link(name=f"server/{server}"), tasks)
+        async with anyio.create_task_group() as starts:
+            for index, server in enumerate(self._server_names):
+                service = SERVICES[index % len(SERVICES)]
+                starts.start_soon(self.start_server, server, service)
+        for index, host in enumerate(self._host_names):
+            await self._add_host(host, index, store_port, tasks)
+        await self._wait_ready()
+
+    def stop(self) -> None:
+        """End every process that was started."""
+        for host in self.hosts.values():
+            host.kill()
+        for server in self.servers.values():
+            server.kill()
+        self.store.mode = ""
+        self._served.__exit__(None, None, None)
+
+    async def start_server(self, place: str, service: str) -> None:
+        """Start a backend server at a place, under a fresh name, and register it."""
+        self._lives += 1
+        name = f"{place}-{self._lives}"
+        journal = self._folder / f"servers.{name}.jsonl"
+        server = await anyio.to_thread.run_sync(
+            lambda: ServerProcess(
+                name=name,
+                service=service,
+                journal=journal,
+                slots=SLOTS,
+                work_ms=WORK_MS,
+            )
+        )
+        self.servers[place] = server
+        self.links[f"server/{place}"].target = server.port
+        self.register(place)
+
+    def register(self, place: str, state: str = "ready") -> None:
+        """Write a backend server's entry, as it would do itself."""
+        server = self.servers[place]
+        number = self._server_names.index(place) // len(SERVICES)
+        entry = {
+            "address": self.links[f"server/{place}"].address,
+            "info": {
+                "service": server.service,
+                "version": "v1",
+                "zone": FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)],
+                "slots": SLOTS,
+            },
+            "status": {"state": state, "sequence": 1, "warmupLeftS": 0},
+            "born": 1,
+        }
+        self.store.put("servers", server.name, entry)
+
+    def remove_server(self, place: str) -> None:
+        """Remove a backend server's entry and end its process."""
+        server = self.servers[place]
+        if ("servers", server.name) in self.store.objects:
+            self.store.delete("servers", server.name)
+        server.kill()
+
+    def configure(self, step: int) -> Configured:
+        """Put a configuration in force whose route `move` leads to another service."""
+        services = {
+            "search": "films",
+            "pay": "rights",
+            "move": SERVICES[step % len(SERVICES)],
+        }
+        at = time.monotonic()
+        self.store.put("config", "main", make_configuration(self.version, services))
+        configured = Configured(at=at, version=self.version, services=services)
+        self.version += 1 + step % 3
+        return configured
+
+    def list_hosts(self) -> list[CallerHost]:
+        """Return the hosts as callers may meet them."""
+        return [
+            CallerHost(
+                name=name,
+                life=host.life,
+                address=f"{host.plan.ip}:{host.front_port}",
+                asked=f"{host.plan.ip}:{host.addresses_port}",
+            )
+            for name, host in self.hosts.items()
+        ]
+
+    def get_failure_domain(self, index: int) -> str:
+        """Return the failure domain of a host or caller by its number."""
+        return FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
+
+    def read_journals(self) -> list[Entry]:
+        """Return what backend servers wrote since the last time, in order."""
+        entries: list[Entry] = []
+        for path in sorted(self._folder.glob("servers.*.jsonl")):
+            with path.open("rb") as file:
+                file.seek(self._offsets.get(path, 0))
+                data = file.read()
+            whole = data[: data.rfind(b"\n") + 1]
+            self._offsets[path] = self._offsets.get(path, 0) + len(whole)
+            entries += [load_entry(line.decode()) for line in whole.splitlines()]
+        return sorted(entries, key=lambda entry: entry.at)
+
+    async def _add_link(self, link: Link, tasks: TaskGroup) -> Link:
+        await link.serve(tasks)
+        self.links[link.name] = link
+        return link
+
+    async def _add_host(
+        self, name: str, index: int, store_port: int, tasks: TaskGroup
+    ) -> None:
+        ip = make_loopback_ip(index)
+        ports = find_ports(ip, 4)
+        peers = Link(name=f"peers/{name}", target_ip=ip, target=ports[2])
+        told = await self._add_link(peers, tasks)
+        store = Link(name=f"store/{name}", target=store_port)
+        await self._add_link(store, tasks)
+        plan = HostPlan(
+            name=name,
+            failure_domain=self.get_failure_domain(index),
+            ip=ip,
+            told_port=told.port,
+            store_port=store.port,
+            folder=self._folder,
+            planted=self._planted,
+        )
+        self.hosts[name] = HostProcess(plan=plan, ports=ports)
+        self.hosts[name].start()
+
+    async def _wait_ready(self) -> None:
+        with anyio.fail_after(READY_WITHIN_S):
+            for host in self.hosts.values():
+                while not await is_ready(host):
+                    await anyio.sleep(READY_POLL_S)
+
+
+async def is_ready(host: HostProcess) -> bool:
+    """Return True if a host says that it is ready."""
+    url = f"http://{host.plan.ip}:{host.ready_port}/api/readiness"
+    try:
+        async with httpx.AsyncClient(trust_env=False, timeout=1.0) as client:
+            return (await client.get(url)).status_code == 200
+    except httpx.HTTPError:
+        return False
+
+
+def make_configuration(version: int, services: dict[str, str]) -> dict[str, Any]:
+    """Return the operator's document."""
+    rules = [
+        {
+            "name": route,
+            "kind": "unsafe" if route == "pay" else "safe",
+            "targetLatencyS": 0.3,
+            "priority": 1,
+            "match": {"pathPrefix": f"/{route}/"},
+            "action": {"service": service, "timeoutS": 1.5, "attempts": 2},
+        }
+        for route, service in services.items()
+    ]
+    return {
+        "version": f"{version:08x}",
+        "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "idleTimeoutS": 15},
+        "listeners": [{"host": VIRTUAL_HOST, "rules": rules}],
+        "clusters": [
+            {"name": service, "healthPath": "/health", "maxConnections": 100}
+            for service in SERVICES
+        ],
+    }
--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -220,7 +220,7 @@
         "failure_domain": settings.failure_domain,
         "region": settings.region,
         "callers": str(settings.callers),
-        "peers": str(settings.peers),
+        "peers": str(settings.peers_told),
     }
 
 
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -149,7 +149,8 @@
 
 
 def _make_host_settings(settings: AdapterSettings) -> HostSettings:
-    key = hashlib.sha256(f"siskinpier/{settings.store}".encode()).hexdigest()
+    shared = settings.peer_key or settings.store
+    key = hashlib.sha256(f"siskinpier/{shared}".encode()).hexdigest()
     return HostSettings(
         name=settings.name,
         failure_domain=settings.failure_domain,
@@ -179,7 +180,7 @@
             failure_domain=settings.failure_domain,
             region=settings.region,
             callers=str(settings.callers),
-            peers=str(settings.peers),
+            peers=str(settings.peers_told),
         ),
         settings=CoreSettings(
             heartbeat_s=HEARTBEAT_S,
--- a/src/siskinpier/platform/settings.py
+++ b/src/siskinpier/platform/settings.py
@@ -43,6 +43,10 @@
     addresses: ListenAddress
     # Where the other hosts connect, and metrics are served.
     peers: ListenAddress
+    # The same as others must write it, where that differs.
+    peers_told: ListenAddress
+    # What hosts prove to each other that they know; empty to derive it.
+    peer_key: str
     operators: ListenAddress
     store: str
     # Peers that a fresh host may turn to; they may be gone.
@@ -81,6 +85,15 @@
     retry_window: Annotated[float, Field(alias="retryWindowS", gt=0.0)] = 10.0
 
 
+class _Own(BaseModel):
+    """Settings of our own, which the platform does not write."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    peers_told: Annotated[str, Field(alias="peersTold")] = ""
+    peer_key: Annotated[str, Field(alias="peerKey")] = ""
+
+
 class _Store(BaseModel):
     model_config = ConfigDict(extra="ignore")
 
@@ -100,6 +113,7 @@
     seeds: str = ""
     bounds: _Bounds = _Bounds()
     platform: _Store
+    own: Annotated[_Own, Field(alias="siskinpier")] = _Own()
 
 
 def parse_settings(text: str) -> AdapterSettings:
@@ -111,6 +125,7 @@
         field = ".".join(str(part) for part in error["loc"])
         raise SettingsError(f"{field}: {error['msg']}") from exc
     peers = _parse_address("listenAddresses.control", boot.listen.control)
+    told = boot.own.peers_told
     return AdapterSettings(
         name=boot.name,
         failure_domain=boot.zone,
@@ -120,6 +135,8 @@
         readiness=_parse_address("listenAddresses.ready", boot.listen.ready),
         addresses=_parse_address("listenAddresses.directory", boot.listen.directory),
         peers=peers,
+        peers_told=_parse_address("siskinpier.peersTold", told) if told else peers,
+        peer_key=boot.own.peer_key,
         operators=ListenAddress(ip=peers.ip, port=_parse_first_port(boot.ports)),
         store=boot.platform.address,
         seed_peers=tuple(seed for seed in boot.seeds.split(",") if seed),
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -26,6 +26,8 @@
         self.revision = 10
         self.forgotten = 0
         self.mode = ""
+        # Before each answer.
+        self.delay_s = 0.0
         self.refuses: Callable[[str], bool] = lambda peer: False
         self.calls: list[tuple[str, str, dict[str, str]]] = []
 
@@ -63,6 +65,7 @@
         body = await _read(receive)
         kind, _, name = scope["path"].removeprefix(PREFIX).partition("/")
         self.calls.append((scope["method"], scope["path"], params))
+        await asyncio.sleep(self.delay_s)
         if self.mode == "silent":
             await asyncio.sleep(LONG_S)
         if self.mode == "busy":
@@ -132,7 +135,7 @@
     body = b""
     while True:
         message = await receive()
-        body += message.get("body", b"")
+        body += bytes(message.get("body", b""))
         if not message.get("more_body", False):
             return body
 
