--- a/src/siskinpier/edge/codec.py
+++ b/src/siskinpier/edge/codec.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 import cbor2
-from pydantic import TypeAdapter, ValidationError
+import msgspec
 
 from ..core.claims.messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
 from ..core.messages import (
@@ -26,31 +26,32 @@
     SlotRequest,
     SpareNotice,
 )
+from ..ranges import is_in_range
 
 PROTOCOL_VERSION: Final = 3
 MESSAGE_LIMIT_BYTES: Final = 1_048_576
 
-_ADAPTERS: Final[dict[str, TypeAdapter[Any]]] = {
-    "heartbeat": TypeAdapter(Heartbeat),
-    "intents": TypeAdapter(IntentsNotice),
-    "intents?": TypeAdapter(IntentsRequest),
-    "members": TypeAdapter(MembersNotice),
-    "spare": TypeAdapter(SpareNotice),
-    "claim?": TypeAdapter(ClaimRequest),
-    "claim": TypeAdapter(ClaimReply),
-    "claim-end": TypeAdapter(ClaimEnd),
-    "claim-end-ack": TypeAdapter(ClaimEndAck),
-    "crash": TypeAdapter(CrashReport),
-    "release": TypeAdapter(QuarantineRelease),
-    "server": TypeAdapter(ServerNotice),
-    "servers": TypeAdapter(ServersNotice),
-    "servers?": TypeAdapter(ServersRequest),
-    "relay": TypeAdapter(RelayWord),
-    "slot?": TypeAdapter(SlotRequest),
-    "slot": TypeAdapter(SlotGrant),
-    "slot-queued": TypeAdapter(SlotQueued),
-    "slot-refused": TypeAdapter(SlotRefusal),
-    "slot-end": TypeAdapter(SlotEnd),
+_KINDS: Final[dict[str, type[Any]]] = {
+    "heartbeat": Heartbeat,
+    "intents": IntentsNotice,
+    "intents?": IntentsRequest,
+    "members": MembersNotice,
+    "spare": SpareNotice,
+    "claim?": ClaimRequest,
+    "claim": ClaimReply,
+    "claim-end": ClaimEnd,
+    "claim-end-ack": ClaimEndAck,
+    "crash": CrashReport,
+    "release": QuarantineRelease,
+    "server": ServerNotice,
+    "servers": ServersNotice,
+    "servers?": ServersRequest,
+    "relay": RelayWord,
+    "slot?": SlotRequest,
+    "slot": SlotGrant,
+    "slot-queued": SlotQueued,
+    "slot-refused": SlotRefusal,
+    "slot-end": SlotEnd,
 }
 _NAMES: Final[dict[type, str]] = {
     Heartbeat: "heartbeat",
@@ -117,15 +118,17 @@
 def _validate(version: int, name: str, values: list[Any]) -> Message | CodecError:
     if version != PROTOCOL_VERSION:
         return CodecError(reason=f"protocol version {version}")
-    adapter = _ADAPTERS.get(name)
-    if adapter is None:
+    kind = _KINDS.get(name)
+    if kind is None:
         return CodecError(reason=f"unknown message type {name[:40]!r}")
     names = _FIELDS[name]
     if len(values) != len(names):
         return CodecError(reason=f"{len(values)} fields in {name}, not {len(names)}")
     fields = dict(zip(names, values, strict=True))
     try:
-        message: Message = adapter.validate_python(fields)
-    except ValidationError as exc:
-        return CodecError(reason=f"{exc.error_count()} invalid fields in {name}")
+        message: Message = msgspec.convert(fields, kind, builtin_types=(bytes,))
+    except msgspec.ValidationError as exc:
+        return CodecError(reason=f"invalid field in {name}: {exc}")
+    if isinstance(message, IntentsNotice) and not is_in_range(message, IntentsNotice):
+        return CodecError(reason=f"a value out of its range in {name}")
     return message
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -33,11 +33,12 @@
 def calm_collector() -> None:
     """Let the garbage collector run seldom, and over new objects only.
 
-    Its runs over all that was loaded at the start would delay calls.
+    Its runs over all that was loaded at the start would delay calls, the first calls
+    too, so what loading left behind is kept.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
+    gc.enable()
 
 
 async def watch_signals(shell: Shell, reload: Callable[[], None]) -> None:
--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, replace
 from typing import Annotated, Any, Final, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec import Meta, Struct, field
 
 from ..core.configuration.intents import (
     ProbeBudget,
@@ -19,6 +20,7 @@
 from ..core.messages import RegisteredServer
 from ..settings.host import LimitSettings
 from .settings import AdapterSettings
+from .validation import describe
 
 # Urgencies of the project reach from 0 to 7; a rank beyond counts as the last.
 LEAST_URGENCY: Final = 7
@@ -28,7 +30,8 @@
 RETRY_PART: Final = 0.4
 HEDGE_PART: Final = 0.3
 
-Seconds = Annotated[float, Field(ge=0.0, le=604_800.0)]
+Seconds = Annotated[float, Meta(ge=0.0, le=604_800.0)]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,85 +59,87 @@
     limits: CallerLimits
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore", strict=True)
-
-
-class _Info(_Model):
-    service: Annotated[str, Field(min_length=1, max_length=100)]
+class _Info(Struct, frozen=True, kw_only=True):
+    service: Name
     # The failure domain.
-    zone: Annotated[str, Field(max_length=100)]
-    slots: Annotated[int, Field(ge=1, le=10_000)]
+    zone: Annotated[str, Meta(max_length=100)]
+    slots: Annotated[int, Meta(ge=1, le=10_000)]
 
 
-class _Status(_Model):
+class _Status(Struct, frozen=True, kw_only=True):
     state: Literal["ready", "draining"]
-    warmup: Annotated[Seconds, Field(alias="warmupLeftS")] = 0.0
+    warmup: Seconds = field(name="warmupLeftS", default=0.0)
 
 
-class _Entry(_Model):
-    address: Annotated[str, Field(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
+class _Entry(Struct, frozen=True, kw_only=True):
+    address: Annotated[str, Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
     info: _Info
     status: _Status
     # Milliseconds since the epoch at which this life of the server began.
-    born: Annotated[int, Field(ge=0)] = 0
+    born: Annotated[int, Meta(ge=0)] = 0
 
 
-class _Match(_Model):
-    prefix: Annotated[str, Field(alias="pathPrefix", pattern=r"^/")]
+class _Match(Struct, frozen=True, kw_only=True):
+    prefix: Annotated[str, Meta(pattern=r"^/")] = field(name="pathPrefix")
 
 
-class _Part(_Model):
-    service: Annotated[str, Field(min_length=1)]
-    weight: Annotated[float, Field(ge=0.0)]
+class _Part(Struct, frozen=True, kw_only=True):
+    service: Annotated[str, Meta(min_length=1)]
+    weight: Annotated[float, Meta(ge=0.0)]
 
 
-class _Action(_Model):
+class _Action(Struct, frozen=True, kw_only=True):
     service: str | None = None
-    parts: Annotated[list[_Part] | None, Field(alias="weightedServices")] = None
-    timeout: Annotated[Seconds, Field(alias="timeoutS")] = 0.0
-    attempts: Annotated[int, Field(ge=1, le=100)] = 1
+    parts: list[_Part] | None = field(name="weightedServices", default=None)
+    timeout: Seconds = field(name="timeoutS", default=0.0)
+    attempts: Annotated[int, Meta(ge=1, le=100)] = 1
 
 
-class _Rule(_Model):
-    name: Annotated[str, Field(min_length=1)]
+class _Rule(Struct, frozen=True, kw_only=True):
+    name: Annotated[str, Meta(min_length=1)]
     # Whether a request may run more than once.
     kind: Literal["safe", "unsafe"]
-    aim: Annotated[Seconds, Field(alias="targetLatencyS")] = 0.0
+    aim: Seconds = field(name="targetLatencyS", default=0.0)
     # The rank; 0 is the highest.
-    priority: Annotated[int, Field(ge=0)] = 0
+    priority: Annotated[int, Meta(ge=0)] = 0
     match: _Match
     action: _Action
 
 
-class _Listener(_Model):
+class _Listener(Struct, frozen=True, kw_only=True):
     # The name in callers' Host field, not an entry host.
-    host: Annotated[str, Field(min_length=1)]
+    host: Annotated[str, Meta(min_length=1)]
     rules: list[_Rule]
 
 
-class _Cluster(_Model):
+class _Cluster(Struct, frozen=True, kw_only=True):
     # A service.
-    name: Annotated[str, Field(min_length=1, max_length=100)]
-    health: Annotated[str, Field(alias="healthPath")] = "/health"
-    connections: Annotated[int, Field(alias="maxConnections", ge=1)] = 250
+    name: Name
+    health: str = field(name="healthPath", default="/health")
+    connections: Annotated[int, Meta(ge=1)] = field(name="maxConnections", default=250)
 
 
-class _Limits(_Model):
-    header_bytes: Annotated[int, Field(alias="headerBytes", ge=256)] = 16_384
-    body_bytes: Annotated[int, Field(alias="bodyBytes", ge=0)] = 67_108_864
-    header_timeout: Annotated[float, Field(alias="headerTimeoutS", gt=0)] = 3.0
-    idle_timeout: Annotated[float, Field(alias="idleTimeoutS", gt=0)] = 15.0
+class _Limits(Struct, frozen=True, kw_only=True):
+    header_bytes: Annotated[int, Meta(ge=256)] = field(
+        name="headerBytes", default=16_384
+    )
+    body_bytes: Annotated[int, Meta(ge=0)] = field(name="bodyBytes", default=67_108_864)
+    header_timeout: Annotated[float, Meta(gt=0.0)] = field(
+        name="headerTimeoutS", default=3.0
+    )
+    idle_timeout: Annotated[float, Meta(gt=0.0)] = field(
+        name="idleTimeoutS", default=15.0
+    )
 
 
-class _Config(_Model):
-    version: Annotated[str, Field(pattern=r"^[0-9a-fA-F]{8}$")]
-    limits: _Limits = _Limits()
+class _Config(Struct, frozen=True, kw_only=True):
+    version: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{8}$")]
+    limits: _Limits = field(default_factory=_Limits)
     listeners: list[_Listener]
     clusters: list[_Cluster]
 
 
-class _Host(_Model):
+class _Host(Struct, frozen=True, kw_only=True):
     failure_domain: str
     region: str
     callers: str
@@ -147,9 +152,9 @@
     if isinstance(status, dict) and status:
         document = {**document, "status": status}
     try:
-        entry = _Entry.model_validate(document)
-    except ValidationError as exc:
-        return Unreadable(reason=_describe(exc))
+        entry = msgspec.convert(document, _Entry)
+    except msgspec.ValidationError as exc:
+        return Unreadable(reason=describe(exc))
     return RegisteredServer(
         name=name,
         service=entry.info.service,
@@ -167,9 +172,9 @@
 ) -> Configuration | Unreadable:
     """Return the operator's configuration of its document."""
     try:
-        config = _Config.model_validate(spec)
-    except ValidationError as exc:
-        return Unreadable(reason=_describe(exc))
+        config = msgspec.convert(spec, _Config)
+    except msgspec.ValidationError as exc:
+        return Unreadable(reason=describe(exc))
     intents = RoutingIntents(
         revision=int(config.version, 16),
         services=tuple(_make_service(c, settings) for c in config.clusters),
@@ -201,9 +206,9 @@
 def decode_host(name: str, spec: Any) -> ListedHost | Unreadable:
     """Return an entry host of its object, which hosts write themselves."""
     try:
-        host = _Host.model_validate(spec)
-    except ValidationError as exc:
-        return Unreadable(reason=_describe(exc))
+        host = msgspec.convert(spec, _Host)
+    except msgspec.ValidationError as exc:
+        return Unreadable(reason=describe(exc))
     return ListedHost(
         name=name,
         failure_domain=host.failure_domain,
@@ -253,9 +258,3 @@
         attempts=action.attempts,
         urgency=min(LEAST_URGENCY, rule.priority),
     )
-
-
-def _describe(exc: ValidationError) -> str:
-    error = exc.errors()[0]
-    field = ".".join(str(part) for part in error["loc"])
-    return f"{field}: {error['msg']}"
--- a/src/siskinpier/platform/settings.py
+++ b/src/siskinpier/platform/settings.py
@@ -7,7 +7,10 @@
 from dataclasses import dataclass
 from typing import Annotated, Any, Final
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec import Meta, Struct, field
+
+from .validation import describe
 
 PATH_VARIABLE: Final = "SISKINPIER_BOOT"
 
@@ -65,65 +68,58 @@
     retry_window_s: float
 
 
-class _Listen(BaseModel):
-    model_config = ConfigDict(extra="ignore")
+Positive = Annotated[float, Meta(gt=0.0)]
+NotNegative = Annotated[float, Meta(ge=0.0)]
+
 
+class _Listen(Struct, frozen=True, kw_only=True):
     front: str
     ready: str
     directory: str
     control: str
 
 
-class _Bounds(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-    grace: Annotated[float, Field(alias="gracePeriodS", gt=0.0)] = 6.0
-    ttl: Annotated[float, Field(alias="ttl_max_s", gt=0.0)] = 5.0
-    probes: Annotated[float, Field(alias="probesPerS", ge=0.0)] = 10.0
-    retry_share: Annotated[float, Field(alias="retryBudgetRatio", ge=0.0)] = 0.1
-    retry_slack: Annotated[float, Field(alias="retryBudgetSlack", ge=0.0)] = 0.0
-    retry_window: Annotated[float, Field(alias="retryWindowS", gt=0.0)] = 10.0
+class _Bounds(Struct, frozen=True, kw_only=True):
+    grace: Positive = field(name="gracePeriodS", default=6.0)
+    ttl: Positive = field(name="ttl_max_s", default=5.0)
+    probes: NotNegative = field(name="probesPerS", default=10.0)
+    retry_share: NotNegative = field(name="retryBudgetRatio", default=0.1)
+    retry_slack: NotNegative = field(name="retryBudgetSlack", default=0.0)
+    retry_window: Positive = field(name="retryWindowS", default=10.0)
 
 
-class _Own(BaseModel):
+class _Own(Struct, frozen=True, kw_only=True):
     """Settings of our own, which the platform does not write."""
 
-    model_config = ConfigDict(extra="ignore")
+    peers_told: str = field(name="peersTold", default="")
+    peer_key: str = field(name="peerKey", default="")
 
-    peers_told: Annotated[str, Field(alias="peersTold")] = ""
-    peer_key: Annotated[str, Field(alias="peerKey")] = ""
-
-
-class _Store(BaseModel):
-    model_config = ConfigDict(extra="ignore")
 
+class _Store(Struct, frozen=True, kw_only=True):
     address: str
-    writes: Annotated[float, Field(alias="writesPerS", gt=0.0)] = 100.0
-
+    writes: Positive = field(name="writesPerS", default=100.0)
 
-class _Boot(BaseModel):
-    model_config = ConfigDict(extra="ignore")
 
-    name: Annotated[str, Field(alias="nodeName", min_length=1)]
-    ip: Annotated[str, Field(alias="ipAddress", min_length=2)]
-    zone: Annotated[str, Field(min_length=1)]
+class _Boot(Struct, frozen=True, kw_only=True):
+    name: Annotated[str, Meta(min_length=1)] = field(name="nodeName")
+    ip: Annotated[str, Meta(min_length=2)] = field(name="ipAddress")
+    zone: Annotated[str, Meta(min_length=1)]
     region: str = "main"
-    listen: Annotated[_Listen, Field(alias="listenAddresses")]
-    ports: Annotated[str, Field(alias="internalPortRange")] = ""
+    listen: _Listen = field(name="listenAddresses")
+    ports: str = field(name="internalPortRange", default="")
     seeds: str = ""
-    bounds: _Bounds = _Bounds()
+    bounds: _Bounds = field(default_factory=_Bounds)
     platform: _Store
-    own: Annotated[_Own, Field(alias="siskinpier")] = _Own()
+    own: _Own = field(name="siskinpier", default_factory=_Own)
 
 
 def parse_settings(text: str) -> AdapterSettings:
     """Return the settings of a file's text; raises `SettingsError`."""
     try:
-        boot = _Boot.model_validate(_parse_lines(text))
-    except ValidationError as exc:
-        error = exc.errors()[0]
-        field = ".".join(str(part) for part in error["loc"])
-        raise SettingsError(f"{field}: {error['msg']}") from exc
+        # Every value of the file is a text.
+        boot = msgspec.convert(_parse_lines(text), _Boot, strict=False)
+    except msgspec.ValidationError as exc:
+        raise SettingsError(describe(exc)) from exc
     peers = _parse_address("listenAddresses.control", boot.listen.control)
     told = boot.own.peers_told
     return AdapterSettings(
@@ -169,10 +165,10 @@
     return root
 
 
-def _parse_address(field: str, text: str) -> ListenAddress:
+def _parse_address(name: str, text: str) -> ListenAddress:
     ip, colon, port = text.rpartition(":")
     if not colon or not ip or not port.isdigit() or int(port) > 65_535:
-        raise SettingsError(f"{field}: {text!r} is not IP:PORT")
+        raise SettingsError(f"{name}: {text!r} is not IP:PORT")
     return ListenAddress(ip=ip, port=int(port))
 
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -70,7 +70,7 @@
             ([PROTOCOL_VERSION + 1, "intents?", ["host-1", 2]], "protocol version"),
             ([PROTOCOL_VERSION, "unheard-of", []], "unknown message type"),
             ([PROTOCOL_VERSION, "intents?", ["host-1"]], "1 fields"),
-            ([PROTOCOL_VERSION, "intents?", ["host-1", "x"]], "1 invalid fields"),
+            ([PROTOCOL_VERSION, "intents?", ["host-1", "x"]], "$.revision"),
             ([PROTOCOL_VERSION, "intents?", {"host": "host-1"}], "not a list"),
             ("text", "not a list"),
         ],
@@ -79,6 +79,15 @@
         result = decode_message(cbor2.dumps(decoded))
         assert isinstance(result, CodecError) and reason in result.reason
 
+    def test_value_out_of_its_range(self) -> None:
+        intents = make_intents()
+        service = replace(intents.services[0], queue_limit=-1)
+        notice = IntentsNotice(
+            version="9", intents=replace(intents, services=(service,))
+        )
+        result = decode_message(encode_message(notice))
+        assert result == CodecError(reason="a value out of its range in intents")
+
     def test_over_the_limit(self) -> None:
         message = replace(REQUEST, host="x" * MESSAGE_LIMIT_BYTES)
         result = decode_message(encode_message(message))
