Let callers of a fresh host wait until it is ready, for 0.4 s at most

Callers that come back after a power cut have used their one repeat, so those calls were lost though the host served a moment later.

Ruled out: the store and the peers (readiness took 0.08 to 0.12 s); listening later, which is a refused connection instead.

Change: connections wait in the listening socket until the host is ready; a host that learns nothing refuses after 0.4 s as before.

Before: the test's first caller gets 503.

--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -43,7 +43,7 @@
 from ..core.reducer import reduce
 from ..core.routing.addresses import AddressAnswer, get_addresses
 from ..core.routing.calls import LoadReport
-from ..core.state import HostState
+from ..core.state import HostState, Lifecycle
 from ..core.timers import Timer
 from ..core.verdict import AttemptFailure
 from ..logs import log_event
@@ -83,6 +83,8 @@
         metrics.watch(state, clock, platform.calls)
         self.peer_key = settings.security.peer_key.encode()
         self.exchanges: dict[str, Exchange] = {}
+        # The core has left its first stage: it serves, or is leaving again.
+        self.settled = anyio.Event()
         # The core has nothing in flight: write out what is left, then end.
         self.stopped = anyio.Event()
         self.watching = False
@@ -110,6 +112,8 @@
             self._observe(event)
         for effect in reduce(self.state, event):
             self._perform(effect)
+        if self.state.lifecycle is not Lifecycle.STARTING and not self.settled.is_set():
+            self.settled.set()
 
     def _observe(self, event: ReplyFinished) -> None:
         active = self.state.calls.get(event.call_id)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -53,6 +53,9 @@
 ANNOUNCE_S: Final = 2.5
 # Time kept between the last answer and the platform's SIGKILL, seconds.
 END_MARGIN_S: Final = 0.8
+# Callers that connect to a fresh host wait this long for it to be ready, seconds; later
+# ones are refused. They give up requests that are not read for a third of their time.
+START_HOLD_S: Final = 0.4
 # Time for the last answers to be written out, seconds.
 WRITE_OUT_S: Final = 0.3
 # Part of the allowance beside the share of calls that one home may use at once.
@@ -135,13 +138,15 @@
     front = make_caller_server(shell, FrontApp(shell=shell))
     side = make_caller_server(shell, SideApp(shell=shell))
     async with anyio.create_task_group() as servers:
-        servers.start_soon(front.serve, [callers])
         tasks.start_soon(side.serve, [readiness, addresses])
         shell.handle(HostStarted(now=shell.clock()))
         tasks.start_soon(relay.run)
         tasks.start_soon(relay.register)
         calm_collector()
         log_event("start", host=shell.settings.name)
+        with anyio.move_on_after(START_HOLD_S):
+            await shell.settled.wait()
+        servers.start_soon(front.serve, [callers])
         await shell.stopped.wait()
         front.should_exit = True
         servers.cancel_scope.deadline = anyio.current_time() + WRITE_OUT_S
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -120,6 +120,15 @@
     }
 
 
+def is_listening(port: int) -> bool:
+    """Return True if connections to a port are taken."""
+    try:
+        socket.create_connection(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def find_ports(count: int) -> list[int]:
     """Return free ports of the loopback address, from the system."""
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
@@ -291,6 +300,37 @@
             assert sock.recv(100).startswith(b"HTTP/1.1 400")
 
 
+class TestStart:
+    """Callers that are there before a host is ready."""
+
+    def test_first_callers_are_served(self, tmp_path: Path) -> None:
+        store, backend = MetadataStore(), Backend(name="i-1")
+        with AppThread(store) as served, AppThread(backend) as first:
+            store.put("config", "main", CONFIG)
+            store.put("servers", "i-1", make_entry(first.address))
+            store.delay_s = 0.05
+            host = PlatformHost(folder=tmp_path, store=served.address)
+            try:
+                wait_until(lambda: is_listening(host.front))
+                reply = host.ask("/search/1")
+                assert reply.status_code == 200, host.read_log()
+            finally:
+                host.stop()
+
+    def test_host_that_learns_nothing_refuses(self, tmp_path: Path) -> None:
+        store = MetadataStore()
+        store.mode = "busy"
+        with AppThread(store) as served:
+            host = PlatformHost(folder=tmp_path, store=served.address)
+            try:
+                wait_until(lambda: is_listening(host.front))
+                reply = host.ask("/search/1")
+                assert reply.status_code == 503
+                assert "retry-after" in reply.headers
+            finally:
+                host.stop()
+
+
 class TestRegistry:
     """Backend servers that come, leave, and entries of others."""
 
