Set a server aside whose address another one has, at the first sign

A 421 was no failure for the core: it was relayed to the caller as 503, counted as a success, and the quickest server drew most calls (252 of 421 answers in ten seconds), with no end. On the platform an address goes to another service up to seconds before the entry lapses.

Ruled out: load (few refusals of our own in the logs); the paused and the silenced server, which answered again.

Change: an answer of another server is a failure that has not run, so the call is tried elsewhere within its attempts and budget; the server is set aside for 5 s at once, at its home too; a probe whose answer names another server does the same before any call meets it. The soak no longer starts two servers at one place, and left one process over when it did.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -39,6 +39,8 @@
         self.store = MetadataStore()
         self.hosts: dict[str, HostProcess] = {}
         self.servers: dict[str, ServerProcess] = {}
+        # Places whose server is being replaced.
+        self.busy: set[str] = set()
         self.links: dict[str, Link] = {}
         self.version = 7
         self._folder = folder
--- a/soak/run.py
+++ b/soak/run.py
@@ -238,12 +238,20 @@
         host.send(signal.SIGCONT)
 
     async def _restart_server(self, step: Step) -> None:
-        server = self._deployment.servers[step.target]
+        deployment, place = self._deployment, step.target
+        server = deployment.servers[place]
         server.kill()
         await anyio.sleep(step.for_s)
-        if self._deployment.servers[step.target] is server:
-            self._deployment.remove_server(step.target)
-            await self._deployment.start_server(step.target, server.service)
+        if deployment.servers[place] is server and place not in deployment.busy:
+            await self._replace(place, server.service)
+
+    async def _replace(self, place: str, service: str) -> None:
+        """End a server and start another at its place."""
+        deployment = self._deployment
+        deployment.busy.add(place)
+        deployment.remove_server(place)
+        await deployment.start_server(place, service)
+        deployment.busy.discard(place)
 
     async def _pause_server(self, step: Step) -> None:
         server = self._deployment.servers[step.target]
@@ -262,11 +270,12 @@
         await anyio.sleep(LEAVING_S)
         if deployment.servers[step.target] is not server:
             return
-        deployment.remove_server(step.target)
+        if step.target in deployment.busy:
+            return
         service = server.service
         if step.kind is FaultKind.SERVER_REUSE:
             service = SERVICES[(SERVICES.index(service) + 1) % len(SERVICES)]
-        await deployment.start_server(step.target, service)
+        await self._replace(step.target, service)
 
     async def _trouble_link(self, step: Step) -> None:
         link = self._deployment.links[step.target]
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -46,6 +46,8 @@
     load: int | None = None
     report: LoadReport | None = None
     draining: bool = False
+    # Another server than the one meant answered at its address.
+    is_other_server: bool = False
     verdict: Verdict | None = None
     retry_after_s: float | None = None
 
@@ -83,6 +85,8 @@
     server: str
     latency_s: float | None
     draining: bool = False
+    # Another server answered at the address.
+    is_other_server: bool = False
     bytes_used: int = 0
     report: LoadReport | None = None
 
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -238,6 +238,8 @@
     ANSWERED = "answered"
     FAILED = "failed"
     UNREACHABLE = "unreachable"
+    # Another server has its address.
+    MISDIRECTED = "misdirected"
     CANCELLED = "cancelled"
     UNUSED = "unused"
 
--- a/src/siskinpier/core/routing/attempts.py
+++ b/src/siskinpier/core/routing/attempts.py
@@ -18,7 +18,7 @@
 from .balance import ServerRuntime
 from .calls import ActiveCall, Attempt, Grant, Stage
 from .forwarding import note_forward
-from .health import record_failure
+from .health import record_failure, set_aside
 from .slot_requests import drop_asks
 from .waiting import FORWARD_MARGIN_S
 
@@ -162,7 +162,9 @@
 
 
 def _end_grant(attempt: Attempt, grant: Grant, out: list[Effect]) -> None:
-    if attempt.has_failed:
+    if attempt.is_misdirected:
+        use = SlotUse.MISDIRECTED
+    elif attempt.has_failed:
         use = SlotUse.UNREACHABLE if attempt.is_unreachable else SlotUse.FAILED
     elif attempt.latency_s is not None:
         use = SlotUse.ANSWERED
@@ -196,16 +198,15 @@
     peers = service.owned if server in service.owned else [*service.servers.values()]
     is_unreachable = failure in UNREACHABLE
     if record_failure(server, peers, now, is_unreachable=is_unreachable):
-        out.append(
-            LogDecision(
-                event="eject",
-                fields={
-                    "service": service.intent.name,
-                    "server": attempt.target,
-                    "for_s": round(server.ejected_until - now, 3),
-                },
-            )
-        )
+        _log_ejection(service, server, "failures", now, out)
+
+
+def note_other_server(
+    service: ServiceRuntime, server: ServerRuntime, now: float, out: list[Effect]
+) -> None:
+    """Set a server aside at whose address another one answers."""
+    if set_aside(server, now):
+        _log_ejection(service, server, "other-server", now, out)
 
 
 def note_late(
@@ -224,6 +225,22 @@
     service.service_time_s += SERVICE_TIME_WEIGHT * (latency_s - service.service_time_s)
 
 
+def _log_ejection(
+    service: ServiceRuntime,
+    server: ServerRuntime,
+    reason: str,
+    now: float,
+    out: list[Effect],
+) -> None:
+    fields: dict[str, object] = {
+        "service": service.intent.name,
+        "server": server.intent.name,
+        "reason": reason,
+        "for_s": round(server.ejected_until - now, 3),
+    }
+    out.append(LogDecision(event="eject", fields=fields))
+
+
 def _log_route(
     active: ActiveCall,
     server: ServerRuntime,
--- a/src/siskinpier/core/routing/calls.py
+++ b/src/siskinpier/core/routing/calls.py
@@ -101,6 +101,8 @@
     started: float
     has_failed: bool = False
     is_unreachable: bool = False
+    # Another server answered at the address of the one that was meant.
+    is_misdirected: bool = False
     # Took the last slot of its server.
     was_full: bool = False
     grant: Grant | None = None
--- a/src/siskinpier/core/routing/health.py
+++ b/src/siskinpier/core/routing/health.py
@@ -17,6 +17,9 @@
 EJECT_BASE_S: Final = 1.0
 EJECT_LONGEST_S: Final = 30.0
 EJECTED_SHARE_LIMIT: Final = 0.34
+# For how long a server is set aside whose address another one has, seconds: until its
+# entry lapses for want of heartbeats.
+OTHER_SERVER_S: Final = 5.0
 LATENCY_WEIGHT: Final = 0.2
 STEADY_WEIGHT: Final = 0.05
 
@@ -74,6 +77,18 @@
     return True
 
 
+def set_aside(server: ServerRuntime, now: float) -> bool:
+    """Set a server aside whose address another one has; return True if that is news.
+
+    Its answers are quick, so that without this it would draw most calls.
+    """
+    is_news = not is_ejected(server, now)
+    server.ejected_until = now + OTHER_SERVER_S
+    server.is_on_trial = True
+    server.is_unreachable = False
+    return is_news
+
+
 def record_probe(server: ServerRuntime, now: float, *, is_healthy: bool) -> bool:
     """Take in a probe; return True if it ends the server's ejection."""
     server.last_heard = now
--- a/src/siskinpier/core/routing/probing.py
+++ b/src/siskinpier/core/routing/probing.py
@@ -7,6 +7,7 @@
 from ..events import ProbeAnswered
 from ..state import HostState, ServiceRuntime
 from ..timers import ProbesDue
+from .attempts import note_other_server
 from .balance import ServerRuntime, is_draining, is_ejected
 from .full_servers import refresh_full_limits
 from .health import record_probe
@@ -46,6 +47,10 @@
     if service is None or server is None:
         return
     note_probe_bytes(service, event.bytes_used)
+    if event.is_other_server:
+        server.last_heard = event.now
+        note_other_server(service, server, event.now, out)
+        return
     if event.report is not None:
         take_speed(state, service, server, event.report, event.now, out)
     is_healthy = event.latency_s is not None
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -8,7 +8,13 @@
 from ..problems import make_attempt_failed
 from ..state import HostState
 from ..verdict import AttemptFailure, Verdict, get_failure_verdict, get_reply_verdict
-from .attempts import get_current, learn_service_time, note_failure, release
+from .attempts import (
+    get_current,
+    learn_service_time,
+    note_failure,
+    note_other_server,
+    release,
+)
 from .calls import ActiveCall, Attempt, Stage
 from .dispatch import drain_queue
 from .full_servers import learn_run
@@ -54,13 +60,17 @@
     verdict = get_reply_verdict(
         event.status, service.intent.not_run_statuses, event.verdict
     )
-    is_error = event.status in SERVER_ERROR_STATUSES
+    is_error = event.status in SERVER_ERROR_STATUSES or event.is_other_server
     if not is_error:
         if active.rival is not None:
             # The attempt that is given up here may have run.
             note_verdict(active, Verdict.MAY_HAVE_RUN)
         drop_rival(service, active, event.now, out)
-    if is_error and not attempt.is_forward:
+    if event.is_other_server and server is not None:
+        attempt.is_misdirected = True
+        attempt.has_failed = True
+        note_other_server(service, server, event.now, out)
+    elif is_error and not attempt.is_forward:
         note_failure(service, attempt, event.now, out)
     if is_error and fall_back_to_rival(service, active, attempt, out):
         note_verdict(active, verdict)
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -21,7 +21,13 @@
 from ..state import HostState, ServiceRuntime
 from ..timers import CallDeadline, SlotDue
 from ..verdict import AttemptFailure, Problem
-from .attempts import learn_service_time, note_failure, release, send
+from .attempts import (
+    learn_service_time,
+    note_failure,
+    note_other_server,
+    release,
+    send,
+)
 from .balance import ServerRuntime, get_slot_limit, has_room, is_draining
 from .calls import ActiveCall, Attempt, Call, Grant, Stage
 from .candidates import PATIENCE_S, choose_fast, estimate_answer_s
@@ -354,6 +360,8 @@
             learn_run(service, message.latency_s, was_full=attempt.was_full)
         case SlotUse.FAILED:
             note_failure(service, attempt, now, out)
+        case SlotUse.MISDIRECTED:
+            note_other_server(service, server, now, out)
         case SlotUse.UNREACHABLE:
             failure = AttemptFailure.CONNECT_REFUSED
             note_failure(service, attempt, now, out, failure)
--- a/src/siskinpier/edge/dialect.py
+++ b/src/siskinpier/edge/dialect.py
@@ -42,6 +42,9 @@
     def is_leaving(self, headers: Headers) -> bool:
         """Return True if a backend server says that it leaves."""
 
+    def is_other_server(self, headers: Headers, server: str) -> bool:
+        """Return True if the answer to a probe names another server."""
+
 
 class OwnDialect:
     """The header fields that the project defines itself."""
@@ -84,6 +87,10 @@
         """Return True if a backend server says that it leaves."""
         return get_header(headers, DRAINING) == b"1"
 
+    def is_other_server(self, headers: Headers, server: str) -> bool:
+        """Return False: answers to probes name no server."""
+        return False
+
     def _sign_forward(self, effect: SendAttempt, call: Call) -> bytes:
         forward = Forward(
             host=self._host,
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -258,7 +258,7 @@
     async def _run_probe(self, effect: SendProbe) -> None:
         started = self.clock()
         latency_s: float | None = None
-        draining = False
+        draining = is_other_server = False
         report: LoadReport | None = None
         size = 0
         with anyio.move_on_after(effect.timeout_s):
@@ -276,6 +276,9 @@
                 finally:
                     reply.close()
                 draining = self.dialect.is_leaving(reply.headers)
+                is_other_server = self.dialect.is_other_server(
+                    reply.headers, effect.server
+                )
                 report = self.dialect.read_report(reply.headers)
                 if reply.status < 400:
                     latency_s = self.clock() - started
@@ -289,6 +292,7 @@
                 server=effect.server,
                 latency_s=latency_s,
                 draining=draining,
+                is_other_server=is_other_server,
                 bytes_used=size,
                 report=report,
             )
--- a/src/siskinpier/platform/fields.py
+++ b/src/siskinpier/platform/fields.py
@@ -15,6 +15,8 @@
 DEADLINE_MS: Final = b"x-deadline-ms"
 # The backend server that alone may run the request.
 EXPECTED_SERVER: Final = b"x-expected-instance"
+# The server that answers a probe.
+ANSWERING_SERVER: Final = b"x-instance-id"
 # Present where the backend server did not run the request.
 NOT_RUN: Final = b"x-not-executed"
 # Requests running, waiting, slots, and the time that work takes in percent.
@@ -58,6 +60,7 @@
             attempt=effect.attempt,
             status=reply.status,
             report=self.read_report(reply.headers),
+            is_other_server=reply.status == MISDIRECTED,
             verdict=Verdict.NOT_RUN if is_not_run else None,
         )
 
@@ -69,6 +72,11 @@
         """Return False: the store alone tells which backend servers leave."""
         return False
 
+    def is_other_server(self, headers: Headers, server: str) -> bool:
+        """Return True if the answer to a probe names another server."""
+        named = get_header(headers, ANSWERING_SERVER)
+        return named is not None and named != server.encode()
+
 
 def parse_load(value: bytes | None) -> LoadReport | None:
     """Return a load field's figures, or None where they cannot be read."""
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -56,6 +56,7 @@
 NEAR_S: Final = 0.0002
 FAR_S: Final = 0.0014
 STORE_S: Final = 0.01
+REJECT_S: Final = 0.002
 VIRTUAL_HOST: Final = "films.example"
 
 
@@ -117,6 +118,8 @@
     knee: float = 1.0
     # Leaves probes and calls without an answer.
     is_silent: bool = False
+    # Ended, and another server has its address.
+    is_replaced: bool = False
     # Neighbours that slow it in spells; None for none.
     neighbours: Neighbours | None = None
     running: int = 0
@@ -170,6 +173,8 @@
         self.sent: list[tuple[str, str]] = []
         self.logs: list[tuple[str, LogDecision]] = []
         self.messages = 0
+        # Calls that came to a server that is not there any more.
+        self.misdirected = 0
         self.dead: set[str] = set()
         # Hosts that the platform leaves without answers.
         self.turned_away: set[str] = set()
@@ -371,6 +376,7 @@
                 server=server,
                 latency_s=0.001,
                 report=self.servers[server].report(self.now),
+                is_other_server=self.servers[server].is_replaced,
             )
             self.handle(host, event)
 
@@ -378,6 +384,9 @@
 
     def _send(self, host: str, effect: SendAttempt) -> None:
         server = self.servers[effect.target]
+        if server.is_replaced:
+            self.after(REJECT_S, lambda: self._misdirect(host, effect))
+            return
         server.running += 1
         server.runs.append(effect.call_id)
         self.sent.append((effect.call_id, effect.target))
@@ -410,6 +419,22 @@
 
         self.after(server.get_run_s(effect.call_id, self.now), finish)
 
+    def _misdirect(self, host: str, effect: SendAttempt) -> None:
+        """Answer as another server than the one meant."""
+        self.misdirected += 1
+        started = ReplyStarted(
+            now=self.now,
+            call_id=effect.call_id,
+            attempt=effect.attempt,
+            status=421,
+            is_other_server=True,
+            verdict=Verdict.NOT_RUN,
+        )
+        self.handle(host, started)
+        if effect.call_id in self.states[host].calls:
+            return  # It is tried elsewhere.
+        self._answer(effect.call_id, 503, Verdict.NOT_RUN)
+
 
 def make_route(**changes: object) -> Route:
     """Return the route of the service's calls."""
