Deliver what a host tells its seed peers as it starts; list hosts again while alone

Logs of hr-north-a: host a-1 saw only itself from its start (-9.29 s) to 7.34 s, owned every server, and granted their slots a second time. Its first list of hosts, which may lag, was empty; the next comes after 16 to 24 s; and its words to the seed peers were never sent: the core speaks before the mesh serves, and a link made then was never run, nor replaced later.

Change: the mesh runs the links that it finds when it begins to serve; a host that has heard nobody lists the hosts again after a second.

Before: three new tests fail (a message from before the mesh serves; a list that lags; seeds alone). After: they pass.

--- a/src/siskinpier/edge/mesh.py
+++ b/src/siskinpier/edge/mesh.py
@@ -120,6 +120,9 @@
     async def serve(self, sock: socket.socket, tasks: TaskGroup) -> None:
         """Listen for peers until cancelled."""
         self._tasks = tasks
+        # The core may have spoken before.
+        for link in self._links.values():
+            tasks.start_soon(self._run_link, link)
         async with serve(
             self._accept,
             sock=sock,
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -45,6 +45,8 @@
 RETRY_S: Final = 0.3
 RETRY_LONGEST_S: Final = 1.0
 HOSTS_POLL_S: Final = 20.0
+# The same for a host that has heard no other yet, as lists may lag.
+HOSTS_POLL_ALONE_S: Final = 1.0
 
 
 class Relay:
@@ -90,7 +92,12 @@
             if not is_written and specs.get(self._settings.name) != own:
                 await self._repeat_until_done(self._write_own)
             is_written = True
-            await anyio.sleep(HOSTS_POLL_S * random.uniform(0.8, 1.2))
+            delay_s = HOSTS_POLL_ALONE_S if self._is_alone() else HOSTS_POLL_S
+            await anyio.sleep(delay_s * random.uniform(0.8, 1.2))
+
+    def _is_alone(self) -> bool:
+        members = self._shell.state.members.values()
+        return all(member.last_heard is None for member in members)
 
     async def _write_own(self) -> bool:
         store, name = self._store, self._settings.name
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -26,6 +26,8 @@
         self.revision = 10
         self.forgotten = 0
         self.mode = ""
+        # Lists of these kinds lag behind so far that they are empty.
+        self.hidden: set[str] = set()
         # Before each answer.
         self.delay_s = 0.0
         self.refuses: Callable[[str], bool] = lambda peer: False
@@ -86,6 +88,7 @@
             await self._watch(kind, params, send)
         else:
             rows = [item for (k, _), item in sorted(self.objects.items()) if k == kind]
+            rows = [] if kind in self.hidden else rows
             document = {
                 "items": rows,
                 "hasMore": False,
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -68,6 +68,19 @@
 
         run(test)
 
+    def test_message_from_before_the_mesh_serves(self) -> None:
+        async def main() -> None:
+            one, two = Peer(name="one"), Peer(name="two")
+            one.mesh.send("two", two.address, make_message(1))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(one.mesh.serve, one.sock, tasks)
+                tasks.start_soon(two.mesh.serve, two.sock, tasks)
+                await two.wait_for(1)
+                tasks.cancel_scope.cancel()
+            assert two.received == [("one", make_message(1))]
+
+        anyio.run(main)
+
     def test_seed_peer_of_unknown_name(self) -> None:
         async def test(one: Peer, two: Peer) -> None:
             one.mesh.send("", two.address, make_message(1))
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -141,7 +141,9 @@
 class PlatformHost:
     """One host process with settings as the platform writes them."""
 
-    def __init__(self, *, folder: Path, store: str, name: str = "front-1") -> None:
+    def __init__(
+        self, *, folder: Path, store: str, name: str = "front-1", seeds: str = ""
+    ) -> None:
         self.front, self.ready, self.control, self.directory = find_ports(4)
         self.path = folder / f"{name}.conf"
         self.settings = [
@@ -154,7 +156,7 @@
             f"listenAddresses.control=127.0.0.1:{self.control}",
             f"listenAddresses.directory=127.0.0.1:{self.directory}",
             "internalPortRange=7620,7635",
-            "seeds=",
+            f"seeds={seeds}",
             "bounds.gracePeriodS=6",
             "bounds.ttl_max_s=5",
             "bounds.retryBudgetSlack=62",
@@ -331,6 +333,44 @@
                 host.stop()
 
 
+class TestDiscovery:
+    """Hosts that find each other, whatever the store's lists leave out."""
+
+    def test_list_that_lags(self, tmp_path: Path) -> None:
+        store = MetadataStore()
+        store.hidden = {"siskinpier-hosts"}
+        with AppThread(store) as served:
+            one = PlatformHost(folder=tmp_path, store=served.address, name="front-1")
+            wait_until(lambda: ("siskinpier-hosts", "front-1") in store.objects)
+            two = PlatformHost(folder=tmp_path, store=served.address, name="front-2")
+            try:
+                wait_until(lambda: ("siskinpier-hosts", "front-2") in store.objects)
+                store.hidden = set()
+                wait_until(lambda: "live=front-1,front-2" in two.read_log())
+                wait_until(lambda: "live=front-1,front-2" in one.read_log())
+            finally:
+                one.stop()
+                two.stop()
+
+    def test_seeds_alone_are_enough(self, tmp_path: Path) -> None:
+        store = MetadataStore()
+        store.hidden = {"siskinpier-hosts"}
+        with AppThread(store) as served:
+            one = PlatformHost(folder=tmp_path, store=served.address, name="front-1")
+            two = PlatformHost(
+                folder=tmp_path,
+                store=served.address,
+                name="front-2",
+                seeds=f"127.0.0.1:{one.control}",
+            )
+            try:
+                wait_until(lambda: "live=front-1,front-2" in two.read_log())
+                wait_until(lambda: "live=front-1,front-2" in one.read_log())
+            finally:
+                one.stop()
+                two.stop()
+
+
 class TestRegistry:
     """Backend servers that come, leave, and entries of others."""
 
