Let a fresh host hear of others before it turns to the platform by itself

A bound of 0.3 s for that stood in the code, but rank 0 passed it after 0.15 s: its patience was counted as that of a host that a relay had left.

Change: a host that knows nobody but has seed peers waits for them for a second; one without waits 0.15 s for its list, as it did in effect. Its timer falls on that time.

Before: a host with seed peers watched after 0.15 s (the test fails). After: after 1 s, unless it learns of hosts before and a relay's word comes. Ready hosts after a power cut know the others by the platform's list, so nothing changes for them.

--- a/src/siskinpier/core/cluster/relays.py
+++ b/src/siskinpier/core/cluster/relays.py
@@ -26,8 +26,12 @@
 SUBSTITUTE_STEP_S: Final = 0.15
 # Makes a time lie just beyond a bound, seconds.
 LEAST_S: Final = 0.001
-# How long a fresh host waits for the list of hosts, and then for a relay's word.
+# How long a fresh host waits for a relay's word.
 START_PATIENCE_S: Final = 0.3
+# How long one waits for its list of hosts that knows neither hosts nor seed peers.
+LIST_PATIENCE_S: Final = 0.15
+# How long one waits that knows no host but has seed peers, which tell it of the others.
+SEEDS_PATIENCE_S: Final = 1.0
 
 
 def start_relay(state: HostState, now: float, out: list[Effect]) -> None:
@@ -41,10 +45,9 @@
     relay = state.relay
     rank = _get_rank(state, now)
     patience_s = SUBSTITUTE_AFTER_S + SUBSTITUTE_STEP_S * (rank - 1)
-    # A host that just started knows no other, and would take itself for the first.
-    is_settled = bool(state.members) or now - state.started >= START_PATIENCE_S
     is_unheard = now - relay.heard_at > patience_s
-    watching = (rank == 0 and is_settled) or is_unheard
+    settled_at = _get_settled_at(state)
+    watching = now >= settled_at and (rank == 0 or is_unheard)
     if watching != state.watching:
         state.watching = watching
         # What an earlier watch confirmed says nothing of this one.
@@ -60,10 +63,22 @@
         tell_domain(state, _make_word(state, rank), out)
     due_at = now + WORD_INTERVAL_S
     if not state.watching:
-        due_at = min(due_at, max(now, relay.heard_at + patience_s) + LEAST_S)
+        begins_at = max(now, settled_at, relay.heard_at + patience_s)
+        due_at = min(due_at, begins_at + LEAST_S)
     out.append(SetTimer(timer=RelayDue(), at=due_at))
 
 
+def _get_settled_at(state: HostState) -> float:
+    """Return the time up to which other hosts may make themselves known.
+
+    A host that just started knows no other, and would take itself for the first.
+    """
+    if state.members:
+        return state.started
+    others = set(state.settings.seed_peers) - {state.identity.peers}
+    return state.started + (SEEDS_PATIENCE_S if others else LIST_PATIENCE_S)
+
+
 def is_confirmed(state: HostState) -> bool:
     """Return True if the watches of this host work as far as it knows."""
     return state.relay.confirmed_at > 0.0 and state.relay.lost_at is None
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,9 +1,21 @@
 """Tests of the registry of backend servers, and of relays that watch it."""
 
+from dataclasses import replace
+
+import pytest
+
 from siskinpier.core.cluster.relays import is_confirmed
 from siskinpier.core.cluster.rendezvous import rank_nodes
-from siskinpier.core.events import PlatformLost, PlatformReached, ServersChanged
+from siskinpier.core.events import (
+    HostStarted,
+    PlatformLost,
+    PlatformReached,
+    ServersChanged,
+    TimerFired,
+)
 from siskinpier.core.messages import RelayWord, ServersNotice
+from siskinpier.core.reducer import reduce
+from siskinpier.core.timers import RelayDue
 from tests.standins.slot_world import ScriptedServer, SlotWorld
 
 # Time in which a new configuration must be in force, and what a relay may take of it
@@ -95,6 +107,25 @@
         assert {word.servers_revision for word in seen} == {1}
 
 
+class TestStart:
+    """Fresh hosts do not all turn to the platform at once."""
+
+    @pytest.mark.parametrize(
+        ("seeds", "is_watching"),
+        [((), True), (("h9:2",), True), (("h1:2", "h9:2"), False)],
+    )
+    def test_host_that_knows_nobody(
+        self, seeds: tuple[str, ...], is_watching: bool
+    ) -> None:
+        state = make_world()._make_state("h9", "d1", 9)
+        state.settings = replace(state.settings, seed_peers=seeds)
+        reduce(state, HostStarted(now=10.0))
+        reduce(state, TimerFired(now=10.5, timer=RelayDue()))
+        assert state.watching is is_watching
+        reduce(state, TimerFired(now=11.0, timer=RelayDue()))
+        assert state.watching
+
+
 class TestOrder:
     """Revisions order what is heard, by whichever way."""
 
