Name at most 64 hosts to callers, in the parts of all failure domains

The answer to callers names hosts sorted by failure domain and was cut off after 64: of 120 hosts chosen there, 30 of busan-a, 30 of changwon-c, 4 of daegu-d, none of ulsan-b.

Change: the limit goes into the choice; rounding stays within it; the same for all hosts.

Before: parts of 30, 30, 4 and 0. After: 16 each.

--- a/src/siskinpier/core/routing/address_choice.py
+++ b/src/siskinpier/core/routing/address_choice.py
@@ -16,9 +16,12 @@
 
 
 def choose_addresses(
-    state: HostState, *, virtual_host: str, now: float
+    state: HostState, *, virtual_host: str, now: float, limit: int
 ) -> AddressAnswer | None:
-    """Return the hosts for the callers of a virtual host; None while none is known."""
+    """Return the hosts for the callers of a virtual host; None while none is known.
+
+    No more than `limit` are named, the same ones by every host.
+    """
     by_domain: dict[str, list[str]] = {}
     for host in get_live_hosts(state, now):
         by_domain.setdefault(host.failure_domain, []).append(host.name)
@@ -26,7 +29,7 @@
         return None
     shares = get_domain_shares(state, virtual_host, now)
     sizes = {domain: len(names) for domain, names in by_domain.items()}
-    counts = count_hosts(sizes, shares)
+    counts = count_hosts(sizes, shares, limit)
     chosen = [
         name
         for domain, names in sorted(by_domain.items())
@@ -60,17 +63,30 @@
 
 
 def count_hosts(
-    sizes: Mapping[str, int], shares: Mapping[str, float]
+    sizes: Mapping[str, int], shares: Mapping[str, float], limit: int
 ) -> dict[str, int]:
     """Return how many of each failure domain's hosts to name, in the given parts.
 
-    As many as possible are named; a domain with hosts is never left out.
+    As many as possible are named, up to `limit` in all; a domain with hosts is never
+    left out.
     """
+    total = sum(sizes.values())
+    if not any(shares.get(domain) for domain in sizes):
+        shares = {domain: size / total for domain, size in sizes.items()}
     scales = [sizes[domain] / shares[domain] for domain in sizes if shares.get(domain)]
-    if not scales:
-        return dict(sizes)
     # A domain that has few hosts for its part bounds the others only so far.
-    scale = max(min(scales), sum(sizes.values()) / 2)
+    scale = min(float(limit), max(min(scales), total / 2))
+    counts = _scale_shares(sizes, shares, scale)
+    while sum(counts.values()) > max(limit, len(counts)):
+        # Rounding up went beyond the limit.
+        scale -= 1.0
+        counts = _scale_shares(sizes, shares, scale)
+    return counts
+
+
+def _scale_shares(
+    sizes: Mapping[str, int], shares: Mapping[str, float], scale: float
+) -> dict[str, int]:
     return {
         domain: min(size, max(1, ceil(scale * shares.get(domain, 0.0) - 0.5)))
         for domain, size in sizes.items()
--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -33,6 +33,7 @@
 READINESS_PATH: Final = "/api/readiness"
 ADDRESSES_PATH: Final = "/api/resolution"
 METRICS_PATH: Final = "/metrics"
+# Callers take no more addresses of one answer.
 ADDRESSES_LIMIT: Final = 64
 
 
@@ -164,12 +165,13 @@
             self._shell.state,
             virtual_host=query.get("name", [""])[0].lower(),
             now=self._shell.clock(),
+            limit=ADDRESSES_LIMIT,
         )
         if answer is None:
             await _send_refusal(send, 503, "no address is known yet", retry_after_s=0.2)
             return
-        addresses = list(answer.addresses[:ADDRESSES_LIMIT])
-        await send_json(send, 200, {"addresses": addresses, "ttlS": answer.keep_s})
+        document = {"addresses": list(answer.addresses), "ttlS": answer.keep_s}
+        await send_json(send, 200, document)
 
 
 def get_status(problem: Problem) -> int:
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -64,13 +64,25 @@
 
     def test_in_proportion(self) -> None:
         counts = count_hosts(
-            {"a": 6, "b": 6, "c": 6}, {"a": 0.5, "b": 0.125, "c": 0.375}
+            {"a": 6, "b": 6, "c": 6}, {"a": 0.5, "b": 0.125, "c": 0.375}, 64
         )
         assert counts["a"] == 6
         assert counts["b"] < counts["c"] < counts["a"]
 
     def test_no_domain_is_left_out(self) -> None:
-        assert count_hosts({"a": 3, "b": 3}, {"a": 1.0}) == {"a": 3, "b": 1}
+        assert count_hosts({"a": 3, "b": 3}, {"a": 1.0}, 64) == {"a": 3, "b": 1}
+
+    @pytest.mark.parametrize("limit", [4, 10, 64, 142])
+    def test_limit_keeps_the_parts(self, limit: int) -> None:
+        # Callers take the first 64 addresses; so these must not be of two domains.
+        sizes = {"a": 42, "b": 30, "c": 34, "d": 37}
+        shares = {"a": 0.25, "b": 0.25, "c": 0.25, "d": 0.25}
+        counts = count_hosts(sizes, shares, limit)
+        assert sum(counts.values()) <= limit
+        assert max(counts.values()) - min(counts.values()) <= 1
+
+    def test_limit_with_nothing_known(self) -> None:
+        assert sum(count_hosts({"a": 80, "b": 40}, {}, 64).values()) == 64
 
     def test_nothing_known(self) -> None:
-        assert count_hosts({"a": 3, "b": 2}, {}) == {"a": 3, "b": 2}
+        assert count_hosts({"a": 3, "b": 2}, {}, 64) == {"a": 3, "b": 2}
