Show latency by route, retry budgets, the platform's last word and lost log lines

Change: histogram by route and urgency (50 routes, the rest together, as configurations may hold thousands), gauges of the retry budget and of the age of the last word that configuration and server list are current, a counter of log lines left out by event.

Before: none of these on /metrics. After: test_platform_process finds them on a real host.

--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -1,7 +1,8 @@
 """The shell: turns sockets into events and effects into I/O, and decides nothing."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 import anyio
@@ -73,6 +74,7 @@
         dialect: Dialect,
         backends: BackendClient,
         metrics: HostMetrics,
+        lines_left_out: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         self.settings = settings
         self.state = state
@@ -80,7 +82,7 @@
         self.platform = platform
         self.dialect = dialect
         self.metrics = metrics
-        metrics.watch(state, clock, platform.calls)
+        metrics.watch(state, clock, platform.calls, lines_left_out)
         self.peer_key = settings.security.peer_key.encode()
         self.exchanges: dict[str, Exchange] = {}
         # The core has left its first stage: it serves, or is leaving again.
@@ -120,6 +122,9 @@
         if active is not None:
             latency_s = event.now - active.arrived
             self.metrics.observe_call(active.call.service, active.urgency, latency_s)
+            if active.route is not None:
+                name = active.route.name
+                self.metrics.observe_route(name, active.urgency, latency_s)
 
     def get_addresses(
         self, service: str, failure_domain: str, caller_key: str
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -1,6 +1,8 @@
 """Metrics of one host, by `prometheus_client`."""
 
 from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
+from typing import Final
 
 from prometheus_client import (
     CollectorRegistry,
@@ -20,7 +22,7 @@
 from .core.cluster.revisions import get_hosts_behind
 from .core.state import HostState
 
-LATENCY_BUCKETS_S = (
+LATENCY_BUCKETS_S: Final = (
     0.001,
     0.002,
     0.005,
@@ -34,6 +36,10 @@
     2.0,
     5.0,
 )
+# Routes that have a histogram of their own; the calls of further ones are counted
+# together. It bounds memory, as configurations may hold thousands.
+ROUTES_LIMIT: Final = 50
+OTHER_ROUTES: Final = "(others)"
 
 
 class StateCollector(Collector):
@@ -45,10 +51,12 @@
         state: HostState,
         clock: Callable[[], float],
         platform_calls: Mapping[str, int],
+        lines_left_out: Mapping[str, int],
     ) -> None:
         self._state = state
         self._clock = clock
         self._platform_calls = platform_calls
+        self._lines_left_out = lines_left_out
 
     def collect(self) -> Iterator[Metric]:
         """Yield every metric."""
@@ -58,6 +66,14 @@
         for kind, count in self._platform_calls.items():
             calls.add_metric([kind], count)
         yield calls
+        lines = CounterMetricFamily(
+            "siskinpier_log_lines_left_out",
+            "Log lines that found no room as their reader lagged.",
+            labels=["event"],
+        )
+        for event, count in self._lines_left_out.items():
+            lines.add_metric([event], count)
+        yield lines
         state, now = self._state, self._clock()
         queue = _make_gauge("queue_length", "Calls that wait here.", "service")
         in_flight = _make_gauge(
@@ -66,13 +82,26 @@
         budget = _make_gauge(
             "probe_budget", "This host's share of the probes a second.", "service"
         )
+        retries = _make_gauge(
+            "retry_budget", "Second attempts that this host may make now.", "service"
+        )
         for name, service in state.services.items():
+            retries.add_metric([name], service.retries.tokens)
             queue.add_metric([name], len(service.queue))
             in_flight.add_metric([name], sum(s.in_flight for s in service.owned))
             budget.add_metric([name], service.probes.rate)
         yield queue
         yield in_flight
         yield budget
+        yield retries
+        age = _make_gauge(
+            "platform_word_age_seconds",
+            "Age of the last word that configuration and server list are current.",
+        )
+        last = max(state.relay.confirmed_at, state.relay.heard_at)
+        if last > 0.0:
+            age.add_metric([], max(0.0, now - last))
+        yield age
         claims = _make_gauge("claims", "Claims in the shards that this host serves.")
         shards = state.claims.shards.values()
         claims.add_metric([], sum(len(shard.entries) for shard in shards))
@@ -104,6 +133,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.route_latency = Histogram(
+            "siskinpier_route_seconds",
+            "Time from a call's arrival to its final answer, by route.",
+            ["route", "urgency"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.refusals = Counter(
             "siskinpier_refusals",
             "Calls refused, by verdict.",
@@ -142,16 +178,22 @@
         # Looking a child up by its labels costs more than counting.
         self._counters: dict[str, Counter] = {}
         self._latencies: dict[tuple[str, int], Histogram] = {}
+        self._route_latencies: dict[tuple[str, int], Histogram] = {}
+        self._routes: set[str] = set()
 
     def watch(
         self,
         state: HostState,
         clock: Callable[[], float],
         platform_calls: Mapping[str, int],
+        lines_left_out: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
-        """Export what is read from the state and the platform's client on a scrape."""
+        """Export what is read on a scrape from the state, platform client and log."""
         collector = StateCollector(
-            state=state, clock=clock, platform_calls=platform_calls
+            state=state,
+            clock=clock,
+            platform_calls=platform_calls,
+            lines_left_out=lines_left_out,
         )
         self.registry.register(collector)
 
@@ -163,6 +205,18 @@
             child = self._latencies[key] = self.latency.labels(service, urgency)
         child.observe(latency_s)
 
+    def observe_route(self, route: str, urgency: int, latency_s: float) -> None:
+        """Take in a call of a route that was answered whole."""
+        if route not in self._routes and len(self._routes) >= ROUTES_LIMIT:
+            route = OTHER_ROUTES
+        self._routes.add(route)
+        key = (route, urgency)
+        child = self._route_latencies.get(key)
+        if child is None:
+            child = self.route_latency.labels(route, urgency)
+            self._route_latencies[key] = child
+        child.observe(latency_s)
+
     def count_decision(self, event: str, fields: dict[str, object]) -> None:
         """Count one decision of the core."""
         counter = self._counters.get(event)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -72,7 +72,8 @@
 
 def run(path: str) -> int:
     """Run a host until it is told to stop; return the exit code."""
-    set_up_logs(handler=LineWriter(fd=sys.stdout.fileno()))
+    writer = LineWriter(fd=sys.stdout.fileno())
+    set_up_logs(handler=writer)
     try:
         settings = parse_settings(Path(path).read_text(encoding="utf-8"))
         sockets = [
@@ -88,7 +89,7 @@
         print(f"siskinpier: cannot start: {path}: {exc}", file=sys.stderr)
         return ExitCode.BAD_INPUT
     anyio.run(
-        partial(_run, path, settings, sockets),
+        partial(_run, path, settings, sockets, writer),
         backend="asyncio",
         backend_options={"use_uvloop": False},
     )
@@ -96,7 +97,10 @@
 
 
 async def _run(
-    path: str, settings: AdapterSettings, sockets: list[socket.socket]
+    path: str,
+    settings: AdapterSettings,
+    sockets: list[socket.socket],
+    writer: LineWriter,
 ) -> None:
     backends = BackendClient(id_field=REQUEST_ID, keep_alive_s=KEEP_ALIVE_S)
     await backends.open()
@@ -110,6 +114,7 @@
         dialect=PlatformDialect(),
         backends=backends,
         metrics=HostMetrics(),
+        lines_left_out=writer.left_out,
     )
     watcher = SettingsWatcher(path=path, settings=settings)
     relay = Relay(shell=shell, store=store, settings=settings)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -17,7 +17,9 @@
 import httpx
 import pytest
 
+from siskinpier.core.state import CoreSettings, HostIdentity, make_state
 from siskinpier.explanation import tell_story
+from siskinpier.metrics import HostMetrics
 from tests.standins.app_thread import AppThread
 from tests.standins.metadata_store import MetadataStore
 from tests.standins.process import ROOT, Receive, Scope, Send
@@ -476,6 +478,34 @@
         answer = httpx.get(url, params=query, trust_env=False).json()
         assert answer == {"addresses": [f"127.0.0.1:{host.front}"], "ttlS": 5.0}
 
+    def test_metrics_of_routes_and_budgets(self, deployment: Deployment) -> None:
+        deployment.host.ask("/search/1")
+        url = f"http://127.0.0.1:{deployment.host.ready}/metrics"
+        page = httpx.get(url, trust_env=False).text
+        route = 'siskinpier_route_seconds_count{route="films.example/search"'
+        assert route in page
+        assert 'siskinpier_retry_budget{service="films"}' in page
+        assert "siskinpier_platform_word_age_seconds" in page
+
+    def test_lines_left_out_are_counted(self) -> None:
+        metrics = HostMetrics()
+        state = make_state(
+            identity=HostIdentity(
+                name="h",
+                incarnation=1,
+                failure_domain="d",
+                region="r",
+                callers="c",
+                peers="p",
+            ),
+            settings=CoreSettings(),
+            parse_intents=lambda _: None,
+            seed=1,
+        )
+        metrics.watch(state, lambda: 0.0, {}, {"answer": 7})
+        line = b'siskinpier_log_lines_left_out_total{event="answer"} 7.0'
+        assert line in metrics.render()
+
     def test_metrics(self, deployment: Deployment) -> None:
         deployment.host.ask("/search/")
         url = f"http://127.0.0.1:{deployment.host.ready}/metrics"
