--- a/soak/processes.py
+++ b/soak/processes.py
@@ -66,6 +66,8 @@
         self._path = plan.folder / f"{plan.name}.conf"
         self._log = plan.folder / f"{plan.name}.log"
         self._settings_number = 0
+        # Where the process writes its log instead of its file.
+        self.output: int | None = None
         self.write_settings()
 
     def write_settings(self) -> None:
@@ -112,10 +114,15 @@
                     PLANTED_VARIABLE: self.plan.planted,
                 },
                 stdin=subprocess.DEVNULL,
-                stdout=log,
+                stdout=log if self.output is None else self.output,
                 stderr=log,
             )
 
+    @property
+    def pid(self) -> int:
+        """Return the process's id; 0 before its first start."""
+        return self._child.pid if self._child is not None else 0
+
     def is_running(self) -> bool:
         """Return True while the process runs."""
         return self._child is not None and self._child.poll() is None
