--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -6,7 +6,6 @@
 
 import logging
 import os
-import sys
 import tempfile
 import threading
 import time
@@ -246,4 +245,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
