Move a virtual host's dealings with the platform into a module of their own

Behaviour is unchanged: test_cluster, test_configuration_history, test_failure_pairs, test_quarantine and test_claims give the same. Ruled out: splitting the effects, which share the inbound calls.

--- a/bench/virtual/host.py
+++ b/bench/virtual/host.py
@@ -6,9 +6,7 @@
 from typing import Any, Final
 
 from siskinpier.core.claims.messages import KeptReply
-from siskinpier.core.configuration.intents import RoutingIntents
 from siskinpier.core.configuration.orders import Order, OrderResult
-from siskinpier.core.configuration.updates import INTENTS_NAME
 from siskinpier.core.effects import (
     AbandonAttempt,
     AnswerOrder,
@@ -32,13 +30,8 @@
     AttemptFailed,
     CallArrived,
     Event,
-    HostsListed,
     HostStarted,
-    IntentsSeen,
-    ListedHost,
     MessageReceived,
-    ObjectRead,
-    ObjectWritten,
     OrderGiven,
     PeerRefused,
     ProbeAnswered,
@@ -46,14 +39,6 @@
     ReplyStarted,
     TimerFired,
 )
-from siskinpier.core.platform_results import (
-    HOSTS,
-    ROUTING_INTENTS,
-    Listed,
-    Missing,
-    Stored,
-    Unavailable,
-)
 from siskinpier.core.reducer import reduce
 from siskinpier.core.routing.calls import Call
 from siskinpier.core.state import (
@@ -65,17 +50,13 @@
 from siskinpier.core.timers import Timer
 from siskinpier.core.verdict import AttemptFailure, Verdict, get_failure_verdict
 from siskinpier.edge.codec import encode_message
-from siskinpier.settings.documents import Rejected, parse_intents
 
+from .platform_link import PlatformLink, parse_or_none
 from .servers import ServerReply, Work
 from .world import Answer, World
 
 PROBE_BYTES: Final = 400
 CONNECT_S: Final = 0.001
-HOSTS_POLL_S: Final = 1.0
-HOSTS_POLL_IDLE_S: Final = 10.0
-FOLLOW_RETRY_S: Final = 0.5
-WATCH_S: Final = 20.0
 CALLER_DELAY_S: Final = 0.003
 
 
@@ -132,7 +113,13 @@
         self._orders: dict[str, Callable[[OrderResult], None]] = {}
         self._life = 0
         self._connected: set[str] = set()
-        self._watch_number = 0
+        self._platform = PlatformLink(
+            world=world,
+            name=name,
+            deliver=self.deliver,
+            is_frozen=lambda: self.is_frozen,
+            is_eager=self._is_eager,
+        )
         self.identity = self._make_identity()
         self.state = self._make_state()
         world.hosts[name] = self
@@ -140,15 +127,13 @@
     def start(self) -> None:
         """Start the core and the loops that follow the platform."""
         self.deliver(lambda: HostStarted(now=self.world.now))
-        self._follow_hosts(self._life)
+        self._platform.start()
 
     def kill(self) -> None:
         """End the host with everything it held."""
         self.is_alive = False
         self._life += 1
-        self._watch_number += 1
-        if self.world.platform is not None:
-            self.world.platform.unwatch(self.name, ROUTING_INTENTS)
+        self._platform.end()
         for inbound in list(self._inbound.values()):
             for work in inbound.works.values():
                 self._cancel_work(work)
@@ -302,11 +287,11 @@
             case SendProbe():
                 self._probe(effect)
             case ReadObject():
-                self._read(effect)
+                self._platform.read(effect)
             case WriteObject():
-                self._write(effect)
+                self._platform.write(effect)
             case WatchIntents(watching=watching):
-                self._watch(watching)
+                self._platform.watch(watching=watching)
             case AnswerOrder(request_id=request_id, result=result):
                 done = self._orders.pop(request_id, None)
                 if done is not None:
@@ -533,91 +518,9 @@
             ),
         )
 
-    def _read(self, effect: ReadObject) -> None:
-        life = self._life
-
-        def done(result: Any) -> None:
-            if life == self._life:
-                self.deliver(
-                    lambda: ObjectRead(
-                        now=self.world.now, request_id=effect.request_id, result=result
-                    )
-                )
-
-        if self.world.platform is not None:
-            self.world.platform.read(effect.kind, effect.name, done)
-
-    def _write(self, effect: WriteObject) -> None:
-        life = self._life
-
-        def done(result: Any) -> None:
-            if life == self._life:
-                self.deliver(
-                    lambda: ObjectWritten(
-                        now=self.world.now, request_id=effect.request_id, result=result
-                    )
-                )
-
-        if self.world.platform is not None:
-            self.world.platform.write(
-                effect.kind, effect.name, effect.spec, effect.expected_version, done
-            )
-
-    def _follow_hosts(self, life: int) -> None:
-        platform = self.world.platform
-        if platform is None or life != self._life:
-            return
-
-        def done(result: Listed | Unavailable) -> None:
-            if isinstance(result, Listed) and life == self._life:
-                hosts = tuple(_make_listed_host(item) for item in result.items)
-                self.deliver(lambda: HostsListed(now=self.world.now, hosts=hosts))
-
-        if not self.is_frozen:
-            platform.list_kind(HOSTS, done)
-        delay_s = HOSTS_POLL_IDLE_S
-        if self.state.watching or self.state.lifecycle is Lifecycle.STARTING:
-            delay_s = HOSTS_POLL_S
-        delay_s *= self.world.rng.uniform(0.8, 1.2)
-        self.world.after(delay_s, lambda: self._follow_hosts(life))
-
-    def _watch(self, watching: bool) -> None:
-        platform = self.world.platform
-        if platform is None:
-            return
-        platform.unwatch(self.name, ROUTING_INTENTS)
-        self._watch_number += 1
-        if watching:
-            self._keep_watch(self._watch_number)
-
-    def _keep_watch(self, number: int) -> None:
-        """Read, then watch from there for a bounded time; begin again after it."""
-        platform, life = self.world.platform, self._life
-        if platform is None or number != self._watch_number:
-            return
-
-        def done(result: Stored | Missing | Unavailable) -> None:
-            if life != self._life or number != self._watch_number:
-                return
-            delay_s = FOLLOW_RETRY_S
-            if isinstance(result, Stored):
-                self._take_stored(result)
-                platform.watch(
-                    self.name, ROUTING_INTENTS, self._take_stored, result.version
-                )
-                delay_s = WATCH_S
-            self.world.after(delay_s, lambda: self._keep_watch(number))
-
-        platform.read(ROUTING_INTENTS, INTENTS_NAME, done)
-
-    def _take_stored(self, stored: Stored) -> None:
-        intents = parse_or_none(stored.spec)
-        if intents is not None:
-            self.deliver(
-                lambda: IntentsSeen(
-                    now=self.world.now, version=stored.version, intents=intents
-                )
-            )
+    def _is_eager(self) -> bool:
+        """Return True if the host list is needed often."""
+        return self.state.watching or self.state.lifecycle is Lifecycle.STARTING
 
     def _make_identity(self) -> HostIdentity:
         return HostIdentity(
@@ -636,21 +539,3 @@
             parse_intents=parse_or_none,
             seed=self._seed + self._life,
         )
-
-
-def parse_or_none(spec: dict[str, object]) -> RoutingIntents | None:
-    """Return the validated intents of a stored document, or None."""
-    parsed = parse_intents(spec)
-    return None if isinstance(parsed, Rejected) else parsed.value
-
-
-def _make_listed_host(stored: Stored) -> ListedHost:
-    spec = stored.spec
-    return ListedHost(
-        name=stored.name,
-        failure_domain=str(spec["failure_domain"]),
-        region=str(spec["region"]),
-        callers=str(spec["callers"]),
-        peers=str(spec["peers"]),
-        leaving=bool(spec["leaving"]),
-    )
--- /dev/null
+++ b/bench/virtual/platform_link.py
@@ -0,0 +1,171 @@
+"""One host's reads, writes and watches of the platform, in virtual time."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from siskinpier.core.configuration.intents import RoutingIntents
+from siskinpier.core.configuration.updates import INTENTS_NAME
+from siskinpier.core.effects import ReadObject, WriteObject
+from siskinpier.core.events import (
+    Event,
+    HostsListed,
+    IntentsSeen,
+    ListedHost,
+    ObjectRead,
+    ObjectWritten,
+)
+from siskinpier.core.platform_results import (
+    HOSTS,
+    ROUTING_INTENTS,
+    Listed,
+    Missing,
+    Stored,
+    Unavailable,
+)
+from siskinpier.settings.documents import Rejected, parse_intents
+
+from .world import World
+
+HOSTS_POLL_S: Final = 1.0
+HOSTS_POLL_IDLE_S: Final = 10.0
+FOLLOW_RETRY_S: Final = 0.5
+WATCH_S: Final = 20.0
+
+
+class PlatformLink:
+    """What a host's process does about the platform, in each of its lives."""
+
+    def __init__(
+        self,
+        *,
+        world: World,
+        name: str,
+        deliver: Callable[[Callable[[], Event]], None],
+        is_frozen: Callable[[], bool],
+        is_eager: Callable[[], bool],
+    ) -> None:
+        self._world = world
+        self._name = name
+        self._deliver = deliver
+        self._is_frozen = is_frozen
+        self._is_eager = is_eager
+        self._life = 0
+        self._watch_number = 0
+
+    def start(self) -> None:
+        """Follow the host list from now on."""
+        self._follow_hosts(self._life)
+
+    def end(self) -> None:
+        """Forget what is on its way, as the process is gone."""
+        self._life += 1
+        self._watch_number += 1
+        if self._world.platform is not None:
+            self._world.platform.unwatch(self._name, ROUTING_INTENTS)
+
+    def read(self, effect: ReadObject) -> None:
+        """Read an object; its core learns the result."""
+        life = self._life
+
+        def done(result: Any) -> None:
+            if life == self._life:
+                self._deliver(
+                    lambda: ObjectRead(
+                        now=self._world.now, request_id=effect.request_id, result=result
+                    )
+                )
+
+        if self._world.platform is not None:
+            self._world.platform.read(effect.kind, effect.name, done)
+
+    def write(self, effect: WriteObject) -> None:
+        """Write an object; its core learns the result."""
+        life = self._life
+
+        def done(result: Any) -> None:
+            if life == self._life:
+                self._deliver(
+                    lambda: ObjectWritten(
+                        now=self._world.now, request_id=effect.request_id, result=result
+                    )
+                )
+
+        if self._world.platform is not None:
+            self._world.platform.write(
+                effect.kind, effect.name, effect.spec, effect.expected_version, done
+            )
+
+    def _follow_hosts(self, life: int) -> None:
+        platform = self._world.platform
+        if platform is None or life != self._life:
+            return
+
+        def done(result: Listed | Unavailable) -> None:
+            if isinstance(result, Listed) and life == self._life:
+                hosts = tuple(_make_listed_host(item) for item in result.items)
+                self._deliver(lambda: HostsListed(now=self._world.now, hosts=hosts))
+
+        if not self._is_frozen():
+            platform.list_kind(HOSTS, done)
+        delay_s = HOSTS_POLL_IDLE_S
+        if self._is_eager():
+            delay_s = HOSTS_POLL_S
+        delay_s *= self._world.rng.uniform(0.8, 1.2)
+        self._world.after(delay_s, lambda: self._follow_hosts(life))
+
+    def watch(self, *, watching: bool) -> None:
+        """Begin or end to watch the routing intents."""
+        platform = self._world.platform
+        if platform is None:
+            return
+        platform.unwatch(self._name, ROUTING_INTENTS)
+        self._watch_number += 1
+        if watching:
+            self._keep_watch(self._watch_number)
+
+    def _keep_watch(self, number: int) -> None:
+        """Read, then watch from there for a bounded time; begin again after it."""
+        platform, life = self._world.platform, self._life
+        if platform is None or number != self._watch_number:
+            return
+
+        def done(result: Stored | Missing | Unavailable) -> None:
+            if life != self._life or number != self._watch_number:
+                return
+            delay_s = FOLLOW_RETRY_S
+            if isinstance(result, Stored):
+                self._take_stored(result)
+                platform.watch(
+                    self._name, ROUTING_INTENTS, self._take_stored, result.version
+                )
+                delay_s = WATCH_S
+            self._world.after(delay_s, lambda: self._keep_watch(number))
+
+        platform.read(ROUTING_INTENTS, INTENTS_NAME, done)
+
+    def _take_stored(self, stored: Stored) -> None:
+        intents = parse_or_none(stored.spec)
+        if intents is not None:
+            self._deliver(
+                lambda: IntentsSeen(
+                    now=self._world.now, version=stored.version, intents=intents
+                )
+            )
+
+
+def parse_or_none(spec: dict[str, object]) -> RoutingIntents | None:
+    """Return the validated intents of a stored document, or None."""
+    parsed = parse_intents(spec)
+    return None if isinstance(parsed, Rejected) else parsed.value
+
+
+def _make_listed_host(stored: Stored) -> ListedHost:
+    spec = stored.spec
+    return ListedHost(
+        name=stored.name,
+        failure_domain=str(spec["failure_domain"]),
+        region=str(spec["region"]),
+        callers=str(spec["callers"]),
+        peers=str(spec["peers"]),
+        leaving=bool(spec["leaving"]),
+    )
