--- a/src/siskinpier/platform/settings.py
+++ b/src/siskinpier/platform/settings.py
@@ -93,8 +93,9 @@
 
 
 class _Machine(Struct, frozen=True, kw_only=True):
-    # Cores' worth of time that one thread gets.
+    # The part of one core's time that a thread gets, not of all cores.
     processor: Positive = field(name="cpuShare", default=1.0)
+    # Megabits a second.
     link: Positive = field(name="linkMbps", default=1000.0)
 
 
@@ -120,6 +121,7 @@
     seeds: str = ""
     bounds: _Bounds = field(default_factory=_Bounds)
     platform: _Store
+    # What the host's machine has; callers' limits come with the configuration.
     machine: _Machine = field(name="limits", default_factory=_Machine)
     own: _Own = field(name="siskinpier", default_factory=_Own)
 
@@ -159,6 +161,7 @@
 
 
 def _get_strength(machine: _Machine) -> float:
+    """Return a host's share of a core, less where its link bounds it too."""
     return round(
         min(1.0, machine.processor) * min(1.0, machine.link / LINK_ENOUGH_MBPS), 3
     )
