Keep one copy of the stand-ins' body reading and port search

Behaviour is unchanged: test_soak and test_platform_process pass. Ruled out: merging the data classes that share a shape only.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -15,7 +15,7 @@
 import fire
 
 from soak.history import RunBegan, RunEnded, dump_entry
-from tests.standins.process import Receive, Scope, Send, serve_app
+from tests.standins.process import Receive, Scope, Send, read_body, serve_app
 
 SPELL_S: Final = 0.5
 SLOW_SHARE: Final = 0.2
@@ -44,7 +44,7 @@
         if scope["type"] != "http":
             return
         headers = {k.decode().lower(): v.decode() for k, v in scope["headers"]}
-        body = await _read(receive)
+        body = await read_body(receive)
         if scope["path"] == "/health":
             extra = [(b"x-instance-id", self._name.encode())]
             await self._reply(send, 200, extra, b"")
@@ -127,15 +127,6 @@
         await send({"type": "http.response.body", "body": body})
 
 
-async def _read(receive: Receive) -> bytes:
-    body = b""
-    while True:
-        message = await receive()
-        body += bytes(message.get("body", b""))
-        if not message.get("more_body", False):
-            return body
-
-
 def main(*, name: str, service: str, journal: str, slots: int, work_ms: float) -> None:
     """Serve on a loopback port of the system's choice."""
     app = SoakBackend(
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -5,7 +5,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -31,15 +30,6 @@
     return f"127.{1 + pid // 250 % 250}.{pid % 250}.{1 + number}"
 
 
-def find_ports(ip: str, count: int) -> list[int]:
-    """Return free ports of a loopback address, from the system."""
-    sockets = [socket.create_server((ip, 0)) for _ in range(count)]
-    ports = [int(sock.getsockname()[1]) for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostPlan:
     """What one host is told at each of its starts."""
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -10,7 +10,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from tests.standins.process import Receive, Scope, Send
+from tests.standins.process import Receive, Scope, Send, read_body
 
 PREFIX = "/api/objects/"
 POLL_S = 0.01
@@ -64,7 +64,7 @@
             return
         query = parse_qs(scope["query_string"].decode())
         params = {key: values[0] for key, values in query.items()}
-        body = await _read(receive)
+        body = await read_body(receive)
         kind, _, name = scope["path"].removeprefix(PREFIX).partition("/")
         self.calls.append((scope["method"], scope["path"], params))
         await asyncio.sleep(self.delay_s)
@@ -134,15 +134,6 @@
         await _reply(send, 200, self.objects[kind, name])
 
 
-async def _read(receive: Receive) -> bytes:
-    body = b""
-    while True:
-        message = await receive()
-        body += bytes(message.get("body", b""))
-        if not message.get("more_body", False):
-            return body
-
-
 async def _reply(send: Send, status: int, document: Any) -> None:
     content = json.dumps(document).encode()
     headers = [(b"content-length", str(len(content)).encode())]
--- a/tests/standins/process.py
+++ b/tests/standins/process.py
@@ -175,6 +175,25 @@
     ReadyServer(config).run()
 
 
+async def read_body(receive: Receive) -> bytes:
+    """Return the whole body of a request."""
+    body = b""
+    while True:
+        message = await receive()
+        body += bytes(message.get("body", b""))
+        if not message.get("more_body", False):
+            return body
+
+
+def find_ports(count: int, ip: str = LOOPBACK) -> list[int]:
+    """Return free ports of a loopback address, from the system."""
+    sockets = [socket.create_server((ip, 0)) for _ in range(count)]
+    ports = [int(sock.getsockname()[1]) for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
 def _child_environ() -> dict[str, str]:
     paths = [str(ROOT / "src"), str(ROOT)]
     return {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -22,7 +22,7 @@
 from siskinpier.metrics import HostMetrics
 from tests.standins.app_thread import AppThread
 from tests.standins.metadata_store import MetadataStore
-from tests.standins.process import ROOT, Receive, Scope, Send
+from tests.standins.process import ROOT, Receive, Scope, Send, find_ports
 
 WITHIN_S = 10.0
 CONFIG = {
@@ -131,15 +131,6 @@
     return True
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free ports of the loopback address, from the system."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 class PlatformHost:
     """One host process with settings as the platform writes them."""
 
