Keep the last host that leaves the home of what still comes to it

Cause: test_shutdown's call in the queue got 503 "No backend server" three times out of four beside other plays. The log: the call arrived 10 ms after the host began to leave (its client was slow to start). A leaving host is not live, no other one was, so no home was left; such a call was sent past any queue, and refused where the server's only slot was taken, though it came free 1.7 s later. The same holds for each host when all leave at once.

Change: in a view without live hosts the own host is the home, so that its queue, limits and refusals hold until the end. What is told to callers and to others stays as it was.

Conclusion: mended; it was a fault of the product, seen as a flaky test.

--- a/src/siskinpier/core/cluster/heartbeats.py
+++ b/src/siskinpier/core/cluster/heartbeats.py
@@ -81,13 +81,7 @@
         and member.name != own.name
     ]
     if not is_leaving(state):
-        hosts.append(
-            LiveHost(
-                name=own.name,
-                failure_domain=own.failure_domain,
-                strength=own.strength,
-            )
-        )
+        hosts.append(_make_own_host(state))
     return sorted(hosts, key=lambda host: host.name)
 
 
@@ -343,9 +337,15 @@
 
 
 def place(state: HostState, service: ServiceRuntime, hosts: list[LiveHost]) -> None:
-    """Give a service its placement in a view of live hosts."""
+    """Give a service its placement in a view of live hosts.
+
+    Without any, all others are gone and this one leaves: it stays the home of what
+    still comes to it.
+    """
     service.placement = place_service(
-        service.intent, hosts, is_split=state.settings.grants_slots
+        service.intent,
+        hosts or [_make_own_host(state)],
+        is_split=state.settings.grants_slots,
     )
     owned = service.placement.get_owned(state.identity.name)
     service.owned = [service.servers[name] for name in owned]
@@ -387,5 +387,12 @@
     return old
 
 
+def _make_own_host(state: HostState) -> LiveHost:
+    own = state.identity
+    return LiveHost(
+        name=own.name, failure_domain=own.failure_domain, strength=own.strength
+    )
+
+
 def _send_to(member: Member, message: Message, out: list[Effect]) -> None:
     out.append(SendMessage(host=member.name, address=member.peers, message=message))
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -7,6 +7,7 @@
     CallArrived,
     ReplyFinished,
     ReplyStarted,
+    ShutdownRequested,
 )
 from siskinpier.core.reducer import reduce
 from siskinpier.core.routing.balance import ServerRuntime
@@ -49,6 +50,20 @@
     return count
 
 
+class TestLastHost:
+    """A host that leaves and has nobody to leave its servers to."""
+
+    def test_calls_that_still_come_wait_for_a_slot(self) -> None:
+        state = make_host()
+        taken = fill(state)
+        reduce(state, ShutdownRequested(now=NOW))
+        assert get_refusals(start(state, taken)) == {}
+        reduce(state, ReplyStarted(now=NOW, call_id="c0", attempt=0, status=200))
+        ended = reduce(state, ReplyFinished(now=NOW, call_id="c0", attempt=0))
+        sent = [effect for effect in ended if isinstance(effect, SendAttempt)]
+        assert [effect.call_id for effect in sent] == [f"c{taken}"]
+
+
 def get_refusals(effects: list[object]) -> dict[str, Verdict]:
     """Return the verdict of each refused call."""
     return {
