Log to standard output everywhere; tell waits, and grants apart from sends

`siskinpier serve` logged to standard error, by a handler that waits for its reader. Waits for a slot stood in no metric and no line. A home logged the slots it grants as `route`, as if it had sent the call: a call whose grant was lost, refused with "not-run", had a `route` line that nobody had acted on.

Ruled out: a second kind of line for forwarding homes (their calls are sent by them); a metric from the log lines, which may be left out.

Change: `serve` uses the platform's bounded writer and counts lines left out; `ready` is its first line. `route` and `grant` have `waited_s`; `siskinpier_queue_wait_seconds` by service and urgency; `explain` tells how long a call waited and names a slot that was granted and not used. The writer leaves its descriptor blocking again, as terminals are shared. One function observes all histograms.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -223,7 +223,7 @@
 def time_line() -> float:
     """Return what one line of a routed call costs, microseconds."""
     fd = os.open(os.devnull, os.O_WRONLY)
-    set_up_logs(handler=LineWriter(fd=fd))
+    set_up_logs(LineWriter(fd=fd))
     began = time.process_time()
     for number in range(LINES_TIMED):
         log_event(
--- a/src/siskinpier/core/routing/attempts.py
+++ b/src/siskinpier/core/routing/attempts.py
@@ -250,10 +250,15 @@
 ) -> None:
     fields = _make_route_fields(active, server.intent.name, reason)
     fields["in_flight"] = server.in_flight
+    fields["waited_s"] = round(now - active.arrived, 4)
     fields["left_s"] = round(active.call.deadline - now, 3)
     if server.report is not None:
         fields["slowdown"] = server.slowdown
         fields["slowdown_age_s"] = round(now - server.reported_at, 3)
+    if active.holder:
+        # A home does not send the calls of others: it grants their hosts a slot.
+        out.append(LogDecision(event="grant", fields=fields))
+        return
     out.append(LogDecision(event="route", fields=fields))
 
 
--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -16,6 +16,7 @@
 from ..core.events import HostStarted
 from ..core.state import CoreSettings, HostIdentity, HostState, make_state
 from ..exits import ExitCode
+from ..log_writer import LineWriter
 from ..logs import log_event, set_up_logs
 from ..metrics import HostMetrics
 from ..settings.documents import Rejected, parse_intents
@@ -37,21 +38,25 @@
 
 def run_host(settings: HostSettings) -> int:
     """Run one host until it is told to stop; return the exit code."""
-    set_up_logs(settings.log_level)
     try:
         certificate = make_certificate(settings.security)
         sockets = bind_sockets(settings)
     except OSError as exc:
         print(f"siskinpier: cannot start: {exc}", file=sys.stderr)
         return ExitCode.BAD_INPUT
-    run = partial(_run, settings, sockets, certificate)
+    writer = LineWriter(fd=sys.stdout.fileno())
+    set_up_logs(writer, settings.log_level)
+    run = partial(_run, settings, sockets, certificate, writer)
     # uvloop is faster, but its libuv sets up an io_uring that nothing turns off.
     anyio.run(run, backend="asyncio", backend_options={"use_uvloop": False})
     return ExitCode.OK
 
 
 async def _run(
-    settings: HostSettings, sockets: HostSockets, certificate: Certificate | None
+    settings: HostSettings,
+    sockets: HostSockets,
+    certificate: Certificate | None,
+    writer: LineWriter,
 ) -> None:
     backends = BackendClient(peer_tls=certificate.peers if certificate else None)
     await backends.open()
@@ -72,7 +77,10 @@
         platform=platform,
         backends=backends,
         metrics=HostMetrics(),
+        lines_left_out=writer.left_out,
     )
+    # The first line, before any line of the log.
+    print(make_ready_line(sockets), flush=True)
     try:
         async with anyio.create_task_group() as tasks:
             if certificate is not None:
@@ -106,7 +114,6 @@
         tasks.start_soon(follow_intents, shell, platform)
         tasks.start_soon(follow_hosts, shell, platform)
         log_event("start", host=settings.name, callers=get_address(sockets.callers))
-        print(make_ready_line(sockets), flush=True)
         await shell.stopped.wait()
         # Each server closes its idle connections, and ends once it has written
         # out its last responses.
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -158,6 +158,7 @@
     def _perform(self, effect: Effect) -> None:
         match effect:
             case SendAttempt():
+                self._note_wait(effect)
                 self._start_attempt(effect)
             case RelayReply() | RefuseCall() | ReplayReply():
                 self._instruct(effect)
@@ -216,6 +217,14 @@
         if reply is not None:
             reply.close()
 
+    def _note_wait(self, effect: SendAttempt) -> None:
+        """Measure how long a call waited for its first backend server."""
+        active = self.state.calls.get(effect.call_id)
+        if active is None or effect.attempt > 0 or effect.is_forward:
+            return
+        wait_s = self.clock() - active.arrived
+        self.metrics.observe_wait(active.call.service, active.urgency, wait_s)
+
     def _start_attempt(self, effect: SendAttempt) -> None:
         exchange = self.exchanges.get(effect.call_id)
         if exchange is not None and not exchange.take_up(effect):
--- a/src/siskinpier/explanation.py
+++ b/src/siskinpier/explanation.py
@@ -81,30 +81,33 @@
     if not ends:
         return "no end is logged: it runs still, or its host ended"
     end = ends[-1]
-    routes = [row for row in lines if row["event"] == "route"]
     match end["event"]:
         case "cancelled":
             after_s = end.get("after_s", "?")
             stage = end.get("stage", "?")
             return f"the caller went away after {after_s} s, while {stage}"
         case "refuse":
-            return _explain_refusal(end, routes)
+            return _explain_refusal(end, lines)
         case _:
             return _explain_answer(end, lines)
 
 
-def _explain_refusal(end: dict[str, str], routes: list[dict[str, str]]) -> str:
+def _explain_refusal(end: dict[str, str], lines: list[dict[str, str]]) -> str:
+    sent = [row for row in lines if row["event"] == "route"]
+    granted = [row for row in lines if row["event"] == "grant"]
     status, verdict = end.get("status", "?"), end.get("verdict", "?")
     reason = end.get("reason", "?")
     text = f"refused with {status}, verdict {verdict}: {reason}"
     detail = end.get("detail")
     if detail:
         text += f" ({detail})"
-    if routes and verdict != "not-run":
-        last = routes[-1]
-        text += f"; it had been sent to {last.get('target', '?')}"
-    elif not routes:
+    if sent and verdict != "not-run":
+        text += f"; it had been sent to {sent[-1].get('target', '?')}"
+    elif not sent:
         text += "; it was sent to no backend server"
+    if granted and not sent:
+        target = granted[-1].get("target", "?")
+        text += f", though its home granted a slot at {target}"
     return text
 
 
@@ -115,9 +118,10 @@
     )
     if _is_slow(end.get("slowdown")):
         text += f"; the server was {end['slowdown']} times slower than usual"
-    waited = any(row["event"] == "queue" for row in lines)
-    if waited:
-        text += "; it waited for a slot"
+    if any(row["event"] == "queue" for row in lines):
+        sent = [row for row in lines if row["event"] == "route"]
+        waited_s = sent[0].get("waited_s", "?") if sent else "?"
+        text += f"; it waited {waited_s} s for a slot"
     retries = sum(row["event"] == "retry" for row in lines)
     if retries:
         text += f"; {retries} earlier attempts failed"
--- a/src/siskinpier/log_writer.py
+++ b/src/siskinpier/log_writer.py
@@ -13,7 +13,9 @@
 
 BUFFER_BYTES: Final = 1_048_576
 # Events that tell of ordinary work; they may use up this part of the buffer only.
-PLAIN_EVENTS: Final = frozenset({"route", "answer", "queue", "probe", "cancelled"})
+PLAIN_EVENTS: Final = frozenset(
+    {"route", "grant", "answer", "queue", "probe", "cancelled"}
+)
 PLAIN_PART: Final = 0.75
 WRITE_BYTES: Final = 65_536
 LEFT_OUT_EVENT: Final = "lines-left-out"
@@ -35,6 +37,7 @@
         self._rest = b""
         self._untold: Counter[str] = Counter()
         self._is_waiting = False
+        self._was_blocking = os.get_blocking(fd)
         os.set_blocking(fd, False)
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -68,6 +71,11 @@
             self._rest = self._rest[written:]
         self._tell_left_out()
 
+    def close(self) -> None:
+        """Leave the descriptor as it was: others may write to the same terminal."""
+        os.set_blocking(self._fd, self._was_blocking)
+        super().close()
+
     def _take_lines(self) -> bytes:
         taken: list[bytes] = []
         size = 0
--- a/src/siskinpier/logs.py
+++ b/src/siskinpier/logs.py
@@ -1,8 +1,7 @@
-"""Logs: one line of key=value pairs for each event, on standard error."""
+"""Logs: one line of key=value pairs for each event."""
 
 import logging
 import re
-import sys
 import time
 from typing import Final
 
@@ -52,24 +51,17 @@
         return " ".join(parts)
 
 
-def set_up_logs(
-    level: str = "info", handler: logging.Handler | None = None
-) -> logging.Handler:
-    """Send events of the given level and above to a handler, and return it.
-
-    Without one they go to standard error.
-    """
+def set_up_logs(handler: logging.Handler, level: str = "info") -> None:
+    """Send events of the given level and above to a handler."""
     # Nothing shows them, and each costs time for every record.
     logging.logThreads = False
     logging.logProcesses = False
     logging.logMultiprocessing = False
-    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(LineFormatter())
     _logger.handlers = [handler]
     _logger.propagate = False
     _logger.setLevel(level.upper())
     _set_up_libraries(handler)
-    return handler
 
 
 def _set_up_libraries(handler: logging.Handler) -> None:
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -140,6 +140,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.waits = Histogram(
+            "siskinpier_queue_wait_seconds",
+            "Time from a call's arrival until it is first sent.",
+            ["service", "urgency"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.refusals = Counter(
             "siskinpier_refusals",
             "Calls refused, by verdict.",
@@ -177,8 +184,7 @@
         )
         # Looking a child up by its labels costs more than counting.
         self._counters: dict[str, Counter] = {}
-        self._latencies: dict[tuple[str, int], Histogram] = {}
-        self._route_latencies: dict[tuple[str, int], Histogram] = {}
+        self._histograms: dict[tuple[Histogram, str, int], Histogram] = {}
         self._routes: set[str] = set()
 
     def watch(
@@ -199,23 +205,18 @@
 
     def observe_call(self, service: str, urgency: int, latency_s: float) -> None:
         """Take in a call that was answered whole."""
-        key = (service, urgency)
-        child = self._latencies.get(key)
-        if child is None:
-            child = self._latencies[key] = self.latency.labels(service, urgency)
-        child.observe(latency_s)
+        self._observe(self.latency, service, urgency, latency_s)
 
     def observe_route(self, route: str, urgency: int, latency_s: float) -> None:
         """Take in a call of a route that was answered whole."""
         if route not in self._routes and len(self._routes) >= ROUTES_LIMIT:
             route = OTHER_ROUTES
         self._routes.add(route)
-        key = (route, urgency)
-        child = self._route_latencies.get(key)
-        if child is None:
-            child = self.route_latency.labels(route, urgency)
-            self._route_latencies[key] = child
-        child.observe(latency_s)
+        self._observe(self.route_latency, route, urgency, latency_s)
+
+    def observe_wait(self, service: str, urgency: int, wait_s: float) -> None:
+        """Take in how long a call waited before it was first sent."""
+        self._observe(self.waits, service, urgency, wait_s)
 
     def count_decision(self, event: str, fields: dict[str, object]) -> None:
         """Count one decision of the core."""
@@ -228,6 +229,15 @@
         if event == "intents":
             self.revision.set(float(str(fields["revision"])))
 
+    def _observe(
+        self, histogram: Histogram, name: str, urgency: int, value_s: float
+    ) -> None:
+        key = (histogram, name, urgency)
+        child = self._histograms.get(key)
+        if child is None:
+            child = self._histograms[key] = histogram.labels(name, urgency)
+        child.observe(value_s)
+
     def render(self) -> bytes:
         """Return the text exposition of all metrics."""
         return generate_latest(self.registry)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -73,7 +73,7 @@
 def run(path: str) -> int:
     """Run a host until it is told to stop; return the exit code."""
     writer = LineWriter(fd=sys.stdout.fileno())
-    set_up_logs(handler=writer)
+    set_up_logs(writer)
     try:
         settings = parse_settings(Path(path).read_text(encoding="utf-8"))
         sockets = [
--- a/tests/standins/process.py
+++ b/tests/standins/process.py
@@ -119,9 +119,11 @@
 
     def output_tail(self) -> str:
         """Return the last part of the child's standard error."""
-        fd = self._stderr.fileno()
-        start = max(0, os.fstat(fd).st_size - TAIL_LIMIT_BYTES)
-        return os.pread(fd, TAIL_LIMIT_BYTES, start).decode(errors="replace")
+        return _read_tail(self._stderr)
+
+    def read_log(self) -> str:
+        """Return the last part of the child's standard output, its log."""
+        return _read_tail(self._stdout)
 
     def _wait_ready(self, within_s: float) -> int:
         deadline_s = time.monotonic() + within_s
@@ -137,6 +139,12 @@
         )
 
 
+def _read_tail(file: IO[bytes]) -> str:
+    fd = file.fileno()
+    start = max(0, os.fstat(fd).st_size - TAIL_LIMIT_BYTES)
+    return os.pread(fd, TAIL_LIMIT_BYTES, start).decode(errors="replace")
+
+
 class AbortableProtocol(HttpToolsProtocol):
     """HTTP protocol that offers its transport to the app as `state["transport"]`."""
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -228,7 +228,7 @@
         exchange(address, b"\x16\x03\x01\r\n\r\n")
         upgrade = b"Connection: upgrade\r\nUpgrade: websocket\r\n\r\n"
         exchange(address, GET + upgrade, end=True)
-        lines = fleet.hosts[0].process.output_tail().splitlines()[1:]
+        lines = fleet.hosts[0].process.read_log().splitlines()[1:]
         assert any("event=bad-request" in line for line in lines)
         assert [line for line in lines if not line.startswith("at=")] == []
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -264,16 +264,18 @@
         host = fleet.hosts[0]
         url = f"http://{host.callers}/call/search/find"
         assert httpx.get(url, trust_env=False).status_code == 200
-        log = host.process.output_tail()
+        log = host.process.read_log()
         call = re.findall(r"event=route call=(\w+)", log)[-1]
         _, _, answer = self.run(fleet, capsys, "ask", f"explain {call}", "--json")
         assert answer["data"][0]["target"] == "search-1"
         page = httpx.get(f"http://{host.operators}/metrics", trust_env=False).text
         labels = '{service="search",urgency="2"}'
         assert f"siskinpier_call_seconds_count{labels} 1.0" in page
+        assert f"siskinpier_queue_wait_seconds_count{labels} 1.0" in page
         assert 'siskinpier_platform_calls_total{kind="write"}' in page
 
     def test_secrets_are_not_logged(self, fleet: Fleet) -> None:
-        log = fleet.hosts[0].process.output_tail()
+        log = fleet.hosts[0].process.read_log()
         assert "event=start" in log
+        assert fleet.hosts[0].process.output_tail() == ""
         assert OPERATOR_TOKEN not in log and PEER_KEY not in log
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -16,9 +16,9 @@
 ]
 HOME = [
     "at=2026-01-01T00:00:01+0000 level=INFO event=queue call=h1/r1/1 service=s ms=10",
-    "at=2026-01-01T00:00:01+0000 level=INFO event=route call=h1/r1/1 service=s"
+    "at=2026-01-01T00:00:01+0000 level=INFO event=grant call=h1/r1/1 service=s"
     " target=i-1 reason=queued ms=19",
-    "at=2026-01-01T00:00:01+0000 level=INFO event=route call=h1/other/1 target=i-2",
+    "at=2026-01-01T00:00:01+0000 level=INFO event=grant call=h1/other/1 target=i-2",
 ]
 
 
@@ -29,7 +29,7 @@
         story = tell_story("r1", [("holder", HOLDER), ("home", HOME)])
         assert [line.event for line in story.lines] == [
             "queue",
-            "route",
+            "grant",
             "route",
             "refuse",
         ]
@@ -49,6 +49,21 @@
         assert "after 1.2 s" in cause
         assert "7.0 times slower" in cause
 
+    def test_cause_of_a_late_answer_after_a_wait(self) -> None:
+        lines = [
+            "event=queue call=r1 service=s",
+            "event=route call=r1 target=i-1 attempt=1 waited_s=0.8",
+            "event=answer call=r1 target=i-1 latency_s=0.1 total_s=0.9 slowdown=1.0",
+        ]
+        cause = tell_story("r1", [("a", lines)]).cause
+        assert "it waited 0.8 s for a slot" in cause
+
+    def test_cause_of_a_call_whose_grant_was_lost(self) -> None:
+        refusal = HOLDER[1].replace("may-have-run", "not-run")
+        cause = tell_story("r1", [("holder", [refusal]), ("home", HOME)]).cause
+        assert "sent to no backend server" in cause
+        assert "though its home granted a slot at i-1" in cause
+
     def test_unknown_request(self) -> None:
         assert tell_story("r9", [("a", HOLDER)]).lines == []
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -84,6 +84,13 @@
         kept = sum("'answer'" in line for line in lines)
         assert f"answer={100 - kept}" in told[0]
 
+    def test_descriptor_is_left_as_it_was(self) -> None:
+        _, fd = os.pipe()
+        writer = make_writer(fd)
+        assert not os.get_blocking(fd)
+        writer.close()
+        assert os.get_blocking(fd)
+
     def test_closed_reader(self) -> None:
         reader, fd = os.pipe()
         os.close(reader)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import re
+import sys
 
 import pytest
 from hypothesis import given, strategies as st
@@ -31,7 +32,7 @@
         assert LineFormatter().format(record) == library.format(record)
 
     def test_secret_fields_are_hidden(self, capsys: pytest.CaptureFixture[str]) -> None:
-        set_up_logs()
+        set_up_logs(logging.StreamHandler(sys.stderr))
         log_event("x", token="abc", Password="abc", name="shown")
         line = capsys.readouterr().err
         assert "event=x token=(hidden) Password=(hidden) name=shown" in line
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -131,7 +131,7 @@
             if size > BIG_BYTES // 2 and not is_stopped:
                 # Slower than the core's check, so that buffers stay full.
                 await anyio.sleep(0.025)
-            if not is_stopped and "event=stop" in process.output_tail():
+            if not is_stopped and "event=stop" in process.read_log():
                 is_stopped = True
                 await anyio.sleep(1.0)
     assert is_stopped
