Break the circle of imports in bench/virtual; check the types of bench and soak

Cause: a virtual host knew its world and the world its hosts, by an import hidden behind TYPE_CHECKING.

Ruled out: a protocol of the world for its hosts, which would say each function a second time; a world generic in its hosts.

Change: `surroundings` holds what a host deals with (network, servers, platform, answers); a host is given it and the mapping of hosts; `world` adds the hosts. `make lint` runs mypy over bench and soak as well.

Conclusion: no module of bench/virtual imports one that imports it.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(PYTHON) -m black --check $(SOURCES)
 	$(PYTHON) -m ruff check $(SOURCES)
 	$(PYTHON) -m mypy
+	$(PYTHON) -m mypy --package bench --package soak
 
 demo: $(VENV)/installed
 	$(PYTHON) -m bench.demo
--- a/bench/claims_cost.py
+++ b/bench/claims_cost.py
@@ -8,6 +8,7 @@
 import sys
 import tracemalloc
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 from siskinpier.core.claims.messages import KeptReply
@@ -145,7 +146,7 @@
         }
         print(json.dumps(added | with_claim), flush=True)
     for size in (0, 200):
-        memory, stored = measure_memory(lambda n, size=size: make_entry(n, size))
+        memory, stored = measure_memory(partial(make_entry, reply_bytes=size))
         figures = {"reply_bytes": size, "memory_bytes": memory, "stored_bytes": stored}
         print(json.dumps(figures))
 
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -46,7 +46,8 @@
     )
     intents = RoutingIntents(revision=1, services=(service,))
     world = make_deployment(intents=intents, hosts=1, seed=SEED)
-    state = next(iter(world.hosts.values())).state
+    [host] = world.hosts.values()
+    state: HostState = host.state
     for server in state.services["s"].servers.values():
         server.latency_s = server.steady_latency_s = 0.01
         server.in_flight = 2
--- a/bench/house.py
+++ b/bench/house.py
@@ -6,7 +6,6 @@
 """
 
 import socket
-import sys
 from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
@@ -149,13 +148,13 @@
             await anyio.sleep(0.05)
 
 
-def main() -> int:
-    """Run the command line with the parts exchanged."""
+def main() -> None:
+    """Run the command line with the parts exchanged, and exit."""
     parts: Any = host
     parts.BackendClient = HttpxClient
     parts._make_caller_server = lambda shell, _: HypercornServer(shell=shell)
-    return cli.main()
+    cli.main()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -7,6 +7,7 @@
 matplotlib.use("Agg")
 
 from matplotlib import pyplot as plt  # noqa: E402
+from matplotlib.axes import Axes  # noqa: E402
 
 from bench.policies import Policy  # noqa: E402
 from bench.report import get_median  # noqa: E402
@@ -46,7 +47,7 @@
 
 
 def _draw_line(
-    panel: plt.Axes, outcomes: list[Outcome], policy: Policy, group: str
+    panel: Axes, outcomes: list[Outcome], policy: Policy, group: str
 ) -> None:
     own = [o for o in outcomes if _is_drawn(o, policy)]
     loads = sorted({o.trial.load for o in own})
--- a/bench/report.py
+++ b/bench/report.py
@@ -95,12 +95,12 @@
         run = _pick(own, ours, 0.85, fault)
         rows.append((f"p99 with {fault} / without", run, high, "all", P99, 1.5))
     lines = ["| ratio | median | lowest-highest | goal | |", "|---|---|---|---|---|"]
-    for name, top, bottom, group, index, goal in rows:
+    for name, top, bottom, group, index, limit in rows:
         ratios = _get_ratios(top, bottom, group, index)
         middle = statistics.median(ratios)
         spread = f"{min(ratios):.2f}-{max(ratios):.2f}"
-        verdict = "" if goal is None else "met" if middle <= goal else "missed"
-        shown = "" if goal is None else f"{goal}"
+        verdict = "" if limit is None else "met" if middle <= limit else "missed"
+        shown = "" if limit is None else f"{limit}"
         lines.append(f"| {name} | {middle:.2f} | {spread} | {shown} | {verdict} |")
     lines.append(_make_goodput_goal(own))
     return "\n".join(lines)
--- a/bench/settings_page.py
+++ b/bench/settings_page.py
@@ -77,7 +77,7 @@
             default=_describe_default(field),
             meaning=comments[field.name],
         )
-        if is_dataclass(element):
+        if isinstance(element, type) and is_dataclass(element):
             is_list = element is not hint
             yield from list_options(element, f"{path}[]." if is_list else f"{path}.")
 
@@ -139,7 +139,7 @@
 
 def _describe_constraint(constraint: Any) -> str:
     match constraint:
-        case Ge(ge=low):
+        case Ge(ge=int() | float() as low):
             return f"{low:,g} or more" if low < 1e6 else f"{low:,} or more"
         case Gt(gt=low):
             return f"more than {low:g}"
--- a/bench/virtual/__init__.py
+++ b/bench/virtual/__init__.py
@@ -7,7 +7,8 @@
 from .host import VirtualHost
 from .platform import VirtualPlatform
 from .servers import Run, VirtualServer
-from .world import Answer, Network, World
+from .surroundings import Answer, Network
+from .world import World
 
 __all__ = [
     "Answer",
--- a/bench/virtual/callers.py
+++ b/bench/virtual/callers.py
@@ -9,7 +9,9 @@
 from siskinpier.core.routing.calls import Call
 from siskinpier.core.verdict import Verdict
 
-from .world import Answer, World
+from .host import find_host
+from .surroundings import Answer
+from .world import World
 
 TRIES_LIMIT: Final = 5
 PATIENCE_S: Final = 0.5
@@ -108,7 +110,7 @@
         if answer is None or not answer.addresses:
             return None
         address = answer.addresses[len(effort.tries) % len(answer.addresses)]
-        host = self.world.get_host_by_address(address)
+        host = find_host(self.world.hosts.values(), address)
         return host.name if host is not None else None
 
     def _take_answer(self, answer: Answer) -> None:
--- a/bench/virtual/deployment.py
+++ b/bench/virtual/deployment.py
@@ -38,7 +38,7 @@
 
 def add_host(world: World, name: str, failure_domain: str, seed: int) -> VirtualHost:
     """Add a host to the world and to the platform's host list; do not start it."""
-    host = VirtualHost(world=world, name=name, failure_domain=failure_domain, seed=seed)
+    host = world.add_host(name=name, failure_domain=failure_domain, seed=seed)
     spec = {
         "failure_domain": failure_domain,
         "region": "main",
--- a/bench/virtual/host.py
+++ b/bench/virtual/host.py
@@ -1,7 +1,7 @@
 """One real core in virtual time: events in, effects out, and host faults."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
@@ -53,7 +53,7 @@
 
 from .platform_link import PlatformLink, parse_or_none
 from .servers import ServerReply, Work
-from .world import Answer, World
+from .surroundings import Answer, Surroundings
 
 PROBE_BYTES: Final = 400
 CONNECT_S: Final = 0.001
@@ -83,13 +83,28 @@
     works: dict[int, Work]
 
 
+def find_host(hosts: Iterable["VirtualHost"], address: str) -> "VirtualHost | None":
+    """Return the host with this caller or peer address."""
+    for host in hosts:
+        if address in (host.identity.callers, host.identity.peers):
+            return host
+    return None
+
+
 class VirtualHost:
     """Drive one core; `kill`, `freeze` and `wake` bring about its faults."""
 
     def __init__(
-        self, *, world: World, name: str, failure_domain: str, seed: int
+        self,
+        *,
+        world: Surroundings,
+        hosts: Mapping[str, "VirtualHost"],
+        name: str,
+        failure_domain: str,
+        seed: int,
     ) -> None:
         self.world = world
+        self._hosts = hosts
         self.name = name
         self.failure_domain = failure_domain
         self.is_alive = True
@@ -122,7 +137,6 @@
         )
         self.identity = self._make_identity()
         self.state = self._make_state()
-        world.hosts[name] = self
 
     def start(self) -> None:
         """Start the core and the loops that follow the platform."""
@@ -345,7 +359,7 @@
 
     def _forward(self, effect: SendAttempt) -> None:
         world = self.world
-        peer = world.get_host_by_address(effect.address)
+        peer = find_host(self._hosts.values(), effect.address)
         inbound = self._inbound.get(effect.call_id)
         if peer is None or inbound is None:
             self._fail_later(effect, AttemptFailure.CONNECT_REFUSED, 0.0)
@@ -466,7 +480,7 @@
         self.messages_sent[kind] += 1
         self.peers_sent_to.add(effect.address)
         self.bytes_sent[kind] += len(encode_message(effect.message))
-        peer = self.world.get_host_by_address(effect.address)
+        peer = find_host(self._hosts.values(), effect.address)
         if peer is None or self.world.network.is_cut(self.name, peer.name):
             return
         delay_s = self.world.network.get_delay_s(
--- a/bench/virtual/payments.py
+++ b/bench/virtual/payments.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum, unique
+from functools import partial
 from typing import Final
 
 from siskinpier.core.claims.flow import NOT_LOOKED_UP
@@ -21,7 +22,8 @@
 from siskinpier.core.verdict import Verdict
 
 from .deployment import make_deployment
-from .world import Answer, World
+from .surroundings import Answer
+from .world import World
 
 HOSTS: Final = 4
 SERVERS: Final = 3
@@ -110,9 +112,9 @@
         """Run the history and return the violations that it shows."""
         world = self.world
         for payment in self._payments:
-            world.after(payment.at, lambda payment=payment: self._try(payment, 0))
+            world.after(payment.at, partial(self._try, payment, 0))
         for fault in self._faults:
-            world.after(fault.at, lambda fault=fault: apply_fault(world, fault))
+            world.after(fault.at, partial(apply_fault, world, fault))
         world.run_for(LENGTH_S)
         return [
             *self._check_runs(),
--- a/bench/virtual/platform.py
+++ b/bench/virtual/platform.py
@@ -81,8 +81,11 @@
             if self.late_writes > 0:
                 self.late_writes -= 1
                 done(Unknown(reason="no reply"))
-                late = partial(self._write, kind, name, spec, expected_version)
-                self.timeline.after(self.late_by_s, late)
+
+                def apply() -> None:
+                    self._write(kind, name, spec, expected_version)
+
+                self.timeline.after(self.late_by_s, apply)
                 return
             result = self._write(kind, name, spec, expected_version)
             if self.lose_replies > 0:
@@ -143,7 +146,7 @@
     def _notify(self, stored: Stored) -> None:
         for key, take in list(self.watchers.items()):
             if key.endswith(f"/{stored.kind}"):
-                self.timeline.after(self.latency_s, lambda take=take: take(stored))
+                self.timeline.after(self.latency_s, partial(take, stored))
 
     def _count(self, kind: str) -> None:
         self.calls[kind] += 1
