Move the platform's stand-in deployment out of its tests

Cause: tests/test_platform_process.py had grown to 570 lines, half of them the backend server, the host process and their settings.

Change: tests/standins/platform_host.py holds them, with `run_deployment`; no case or check changed. tests/standins/ is where the other stand-ins live.

Ruled out: splitting the cases over files, which would need the fixture twice.

--- /dev/null
+++ b/tests/standins/platform_host.py
@@ -0,0 +1,248 @@
+"""A host process on the users' platform, with its store and backend servers."""
+
+import asyncio
+import os
+import shlex
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+import httpx
+
+from .app_thread import AppThread
+from .metadata_store import MetadataStore
+from .process import ROOT, Receive, Scope, Send, find_ports
+
+WITHIN_S: Final = 10.0
+HELD_S: Final = 30.0  # longer than any call of these tests may take
+CONFIG: Final = {
+    "version": "00000007",
+    "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "idleTimeoutS": 15},
+    "listeners": [
+        {
+            "host": "films.example",
+            "rules": [
+                {
+                    "name": "search",
+                    "kind": "safe",
+                    "targetLatencyS": 0.5,
+                    "priority": 1,
+                    "match": {"pathPrefix": "/search/"},
+                    "action": {"service": "films", "timeoutS": 1.0, "attempts": 2},
+                },
+                {
+                    "name": "pay",
+                    "kind": "unsafe",
+                    "match": {"pathPrefix": "/pay/"},
+                    "action": {"service": "films", "timeoutS": 1.0, "attempts": 2},
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {"name": "films", "healthPath": "/health", "maxConnections": 50},
+    ],
+}
+
+
+def wait_until(condition: Callable[[], bool], within_s: float = WITHIN_S) -> None:
+    """Wait for a condition; the bound only ends a test that hangs."""
+    deadline = time.monotonic() + within_s
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError("the condition did not come true")
+
+
+@dataclass(slots=True, kw_only=True)
+class Backend:
+    """A backend server that answers as the test says."""
+
+    name: str = "i-1"
+    behave: str = "answer"
+    load: bytes = b"1,0,4,100"
+    runs: list[dict[str, str]] = field(default_factory=list)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        headers = {k.decode(): v.decode() for k, v in scope["headers"]}
+        while (await receive()).get("more_body", False):
+            pass
+        extra = [(b"x-server-load", self.load)]
+        if scope["path"] == "/health":
+            await self._reply(send, 200, extra, b"")
+            return
+        request_id = headers.get("x-request-id", "").encode()
+        extra.append((b"x-request-id", request_id))
+        if headers.get("x-expected-instance") != self.name:
+            await self._reply(send, 421, extra, b"")
+            return
+        if self.behave == "shed":
+            await self._reply(send, 503, [*extra, (b"x-not-executed", b"1")], b"")
+            return
+        self.runs.append(headers)
+        if self.behave == "fail":
+            await self._reply(send, 503, extra, b"failed")
+            return
+        if self.behave == "slow":
+            await asyncio.sleep(0.6)
+        if self.behave == "hold":
+            await asyncio.sleep(HELD_S)
+        signature = (b"x-response-signature", b"sig")
+        await self._reply(send, 200, [*extra, signature], b"found it")
+
+    async def _reply(
+        self, send: Send, status: int, extra: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        headers = [*extra, (b"content-length", str(len(body)).encode())]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+def make_entry(address: str, state: str = "ready") -> dict[str, Any]:
+    """Return a backend server's entry."""
+    return {
+        "address": address,
+        "info": {"service": "films", "version": "v1", "zone": "z1", "slots": 4},
+        "status": {"state": state, "sequence": 1, "warmupLeftS": 0},
+        "born": 1,
+    }
+
+
+def find_fields(log: str, event: str) -> list[dict[str, str]]:
+    """Return the fields of all log lines of an event."""
+    rows = [
+        dict(part.split("=", 1) for part in shlex.split(row)) for row in log.split("\n")
+    ]
+    return [row for row in rows if row.get("event") == event]
+
+
+def is_listening(port: int) -> bool:
+    """Return True if connections to a port are taken."""
+    try:
+        socket.create_connection(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
+
+
+class PlatformHost:
+    """One host process with settings as the platform writes them."""
+
+    def __init__(
+        self, *, folder: Path, store: str, name: str = "front-1", seeds: str = ""
+    ) -> None:
+        self.front, self.ready, self.control, self.directory = find_ports(4)
+        self.path = folder / f"{name}.conf"
+        self.settings = [
+            f"nodeName={name}",
+            "ipAddress=127.0.0.1",
+            "zone=z1",
+            "region=r1",
+            f"listenAddresses.front=127.0.0.1:{self.front}",
+            f"listenAddresses.ready=127.0.0.1:{self.ready}",
+            f"listenAddresses.control=127.0.0.1:{self.control}",
+            f"listenAddresses.directory=127.0.0.1:{self.directory}",
+            "internalPortRange=7620,7635",
+            f"seeds={seeds}",
+            "bounds.gracePeriodS=6",
+            "bounds.ttl_max_s=5",
+            "bounds.retryBudgetSlack=62",
+            "platform.form=objects",
+            f"platform.address={store}",
+            "somethingNew.deep=1",
+        ]
+        self.path.write_text("\n".join(self.settings))
+        self.log = (folder / f"{name}.log").open("w+b")
+        self.child = subprocess.Popen(
+            [sys.executable, "-m", "siskinpier.platform"],
+            env={
+                **os.environ,
+                "PYTHONPATH": str(ROOT / "src"),
+                "SISKINPIER_BOOT": str(self.path),
+            },
+            stdout=self.log,
+            stderr=self.log,
+        )
+
+    def is_ready(self) -> bool:
+        """Return True once the host says that it is ready."""
+        url = f"http://127.0.0.1:{self.ready}/api/readiness"
+        try:
+            return httpx.get(url, trust_env=False).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def ask(self, path: str, method: str = "GET", **headers: str) -> httpx.Response:
+        """Send a request to the host as a caller does."""
+        fields = {
+            "Host": "films.example",
+            "X-Request-Id": "r1",
+            "X-Deadline-Ms": "2000",
+            **{key.replace("_", "-"): value for key, value in headers.items()},
+        }
+        url = f"http://127.0.0.1:{self.front}{path}"
+        return httpx.request(method, url, headers=fields, trust_env=False, timeout=9)
+
+    def read_log(self) -> str:
+        """Return what the host wrote."""
+        self.log.flush()
+        return Path(self.log.name).read_text(errors="replace")
+
+    def stop(self) -> None:
+        """End the process."""
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait(WITHIN_S)
+        self.log.close()
+
+
+@dataclass(slots=True, kw_only=True)
+class Deployment:
+    """A store, two backend servers and a host."""
+
+    store: MetadataStore
+    backends: dict[str, Backend]
+    host: PlatformHost
+
+    def behave(self, how: str) -> None:
+        """Let all backend servers behave in one way."""
+        for backend in self.backends.values():
+            backend.behave = how
+
+    def count_runs(self) -> int:
+        """Return the runs of all backend servers."""
+        return sum(len(backend.runs) for backend in self.backends.values())
+
+
+@contextmanager
+def run_deployment(folder: Path) -> Iterator[Deployment]:
+    """Run a store, two backend servers and a host that is ready."""
+    store = MetadataStore()
+    backends = {name: Backend(name=name) for name in ("i-1", "i-2")}
+    with (
+        AppThread(store) as served,
+        AppThread(backends["i-1"]) as first,
+        AppThread(backends["i-2"]) as second,
+    ):
+        store.put("config", "main", CONFIG)
+        store.put("servers", "i-1", make_entry(first.address))
+        store.put("servers", "i-2", make_entry(second.address))
+        store.put("servers", "broken", {"address": 7, "info": []})
+        host = PlatformHost(folder=folder, store=served.address)
+        try:
+            wait_until(host.is_ready)
+            yield Deployment(store=store, backends=backends, host=host)
+        finally:
+            host.stop()
