Learn of forgotten connections from breaks at once only

Ruled out: counting breaks by server (one forgetful server says much of its kind, one killed server nothing).

Change: a break counts within 0.05 s of sending, as a forgotten connection is reset by the first bytes.

--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -247,6 +247,7 @@
             (key.decode("latin-1"), val.decode("latin-1")) for key, val in headers
         ]
         _rested_s.set(0.0)
+        sent_at = time.monotonic()
         try:
             return await self._session.request(
                 method,
@@ -263,14 +264,14 @@
         except aiohttp.ClientResponseError as exc:
             raise AttemptError(AttemptFailure.BAD_REPLY) from exc
         except (aiohttp.ClientError, OSError, ValueError) as exc:
-            self._note_break()
+            self._note_break(sent_at)
             raise AttemptError(AttemptFailure.RESET) from exc
 
-    def _note_break(self) -> None:
+    def _note_break(self, sent_at: float) -> None:
         """Learn from a request that broke before its reply began."""
         now = time.monotonic()
         rested_s = _rested_s.get()
-        if self._rest_limit.note_break(rested_s, now):
+        if self._rest_limit.note_break(rested_s=rested_s, sent_at=sent_at, now=now):
             log_event(
                 "rest-limit",
                 rested_s=round(rested_s, 3),
--- a/src/siskinpier/edge/resting.py
+++ b/src/siskinpier/edge/resting.py
@@ -11,6 +11,9 @@
 SAFE_SHARE: Final = 0.5
 # A break after a shorter rest tells of the server, not of the rest, seconds.
 LEAST_REST_S: Final = 0.02
+# A forgotten connection is reset by the first bytes sent. A break that comes later than
+# this, in seconds, tells of a server that ended while the request ran.
+AT_ONCE_S: Final = 0.05
 # How long a break counts, seconds: long against the rests of connections in use.
 LEARNT_FOR_S: Final = 60.0
 
@@ -29,9 +32,9 @@
             return self._longest_s
         return self._learnt_s
 
-    def note_break(self, rested_s: float, now: float) -> bool:
-        """Take in a break after a rest; return True if the limit became shorter."""
-        if rested_s < LEAST_REST_S:
+    def note_break(self, *, rested_s: float, sent_at: float, now: float) -> bool:
+        """Take in the break of a request; return True if the limit became shorter."""
+        if rested_s < LEAST_REST_S or now - sent_at > AT_ONCE_S:
             return False
         before_s = self.get(now)
         self._learnt_s = min(before_s, SAFE_SHARE * rested_s)
