Read the platform's configuration as far as it can be read

Cause: a rule of the kind `download` made the whole document unreadable, so that no host was ever ready and every request was refused.

Change: each field is read by itself (field_reading.py). Unknown kinds are not repeatable, fields that shape a route have careful defaults, a rule whose destination cannot be read is suspended, and one whose paths cannot be read suspends its virtual host: no request goes to another rule's service. Each fault has one log line a version.

Ruled out: passing over an unreadable rule alone, as its requests would then go to the service of a shorter prefix.

--- a/src/siskinpier/core/configuration/intents.py
+++ b/src/siskinpier/core/configuration/intents.py
@@ -22,6 +22,8 @@
 RECENT_UPDATES_KEPT: Final = 64
 ORDERED_KEPT: Final = 1_000
 URGENT_LIMIT: Final = 1
+# A route of this virtual host applies where the one that a caller names has no routes.
+ANY_VIRTUAL_HOST: Final = "*"
 
 
 class ServerState(StrEnum):
@@ -142,7 +144,8 @@
 
     # Unique name of the route.
     name: Name
-    # Virtual host that callers name in the Host field, in lower case.
+    # Virtual host that callers name in the Host field, in lower case; `*` applies to
+    # those that have no route.
     virtual_host: Name
     # Beginning of the paths that match.
     path_prefix: str = "/"
@@ -158,6 +161,8 @@
     attempts: Annotated[int, Ge(1), Le(100)] = 3
     # Urgency of the calls; 0 is the most urgent (RFC 9218).
     urgency: Annotated[int, Ge(0), Le(1_000)] = DEFAULT_URGENCY
+    # Refuse the calls as not run, and tell callers to come back.
+    is_suspended: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/routing/arrivals.py
+++ b/src/siskinpier/core/routing/arrivals.py
@@ -10,7 +10,9 @@
     make_deadline_passed,
     make_host_ended,
     make_key_invalid,
+    make_no_server,
     make_not_ready,
+    make_route_suspended,
     make_unknown_route,
     make_unknown_service,
 )
@@ -18,7 +20,7 @@
 from ..timers import CallDeadline
 from ..verdict import Problem, Verdict
 from .attempts import abandon, note_late
-from .calls import ActiveCall, Stage
+from .calls import ActiveCall, Call, Stage
 from .dispatch import drain_queue, give_up_waiting, place_call
 from .quarantine import judge_quarantine
 from .refusals import forget, judge_unseen, refuse, refuse_unseen
@@ -42,11 +44,14 @@
         if route is None:
             refuse_unseen(call, make_unknown_route(call.virtual_host), out)
             return
+        if route.is_suspended:
+            refuse_unseen(call, make_route_suspended(call.virtual_host), out)
+            return
         name = state.routes.choose_service(route, state.rng) or ""
         call = apply_route(call, route, name, event.now)
     service = state.services.get(call.service)
     if service is None:
-        refuse_unseen(call, make_unknown_service(call.service), out)
+        refuse_unseen(call, _make_undeclared(call, route), out)
         return
     if call.deadline <= event.now:
         refuse_unseen(call, make_deadline_passed(judge_unseen(call)), out)
@@ -187,3 +192,13 @@
             out.append(CutReply(call_id=active.call.call_id))
         else:
             refuse(active, make_host_ended(verdict), out)
+
+
+def _make_undeclared(call: Call, route: Route | None) -> Problem:
+    """Return the refusal of a call whose service is not declared.
+
+    A call with a route is proper: its service may be declared soon.
+    """
+    if route is None:
+        return make_unknown_service(call.service)
+    return make_no_server(call.service, Verdict.NOT_RUN)
--- a/src/siskinpier/core/routing/routes.py
+++ b/src/siskinpier/core/routing/routes.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Final
 
-from ..configuration.intents import CallRule, Route
+from ..configuration.intents import ANY_VIRTUAL_HOST, CallRule, Route
 from .calls import Call
 
 # Weight of the newest reply in the mean size, and time in which a route's count of
@@ -61,7 +61,10 @@
 
     def find(self, virtual_host: str, path: str) -> Route | None:
         """Return the route of the longest prefix that begins the path, or None."""
-        for route in self.by_virtual_host.get(virtual_host, ()):
+        routes = self.by_virtual_host.get(virtual_host)
+        if routes is None:
+            routes = self.by_virtual_host.get(ANY_VIRTUAL_HOST, ())
+        for route in routes:
             if path.startswith(route.path_prefix):
                 return route
         return None
--- /dev/null
+++ b/src/siskinpier/platform/configuration.py
@@ -0,0 +1,273 @@
+"""The operator's configuration, decoded as far as it can be read.
+
+What a later version of the platform adds must not stop a host. A rule that cannot be
+read suspends the requests that it may have matched, so that none of them goes to the
+service of another rule; everything else is in force.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Annotated, Any, Final
+
+from msgspec import Meta
+
+from ..core.configuration.intents import (
+    ANY_VIRTUAL_HOST,
+    ProbeBudget,
+    Route,
+    RoutingIntents,
+    ServiceIntent,
+    WeightedService,
+)
+from ..settings.host import LimitSettings
+from .documents import Name, Seconds, Unreadable
+from .field_reading import ABSENT, Absent, Fault, FieldReader
+from .settings import AdapterSettings
+
+# Urgencies of the project reach from 0 to 7; a rank beyond counts as the last.
+LEAST_URGENCY: Final = 7
+# The rank of a rule that names none.
+USUAL_URGENCY: Final = 3
+# Room for the request line, which the bound on headers may leave out.
+REQUEST_LINE_BYTES: Final = 8_192
+# The shares of the shared budget for second sends that retries and hedges take.
+RETRY_PART: Final = 0.4
+HEDGE_PART: Final = 0.3
+# Kinds of request that may run more than once; all others may not.
+IDEMPOTENT_KINDS: Final = frozenset({"safe", "download"})
+KNOWN_KINDS: Final = IDEMPOTENT_KINDS | {"unsafe"}
+
+ALL_PATHS: Final = "/"
+HEALTH_PATH: Final = "/health"
+SERVER_CONNECTIONS: Final = 250
+ONE_ATTEMPT: Final = 1
+
+NOT_REPEATABLE: Final = "not repeatable"
+SUSPENDED: Final = "its requests are suspended"
+VIRTUAL_HOST_SUSPENDED: Final = "all requests of its virtual host are suspended"
+UNKNOWN_HOSTS_SUSPENDED: Final = "requests of virtual hosts without routes suspended"
+NO_ROUTES: Final = "all requests are suspended"
+PASSED_OVER: Final = "passed over"
+
+VersionText = Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{8}$")]
+Text = Annotated[str, Meta(min_length=1)]
+Path = Annotated[str, Meta(pattern=r"^/")]
+Weight = Annotated[float, Meta(ge=0.0)]
+Rank = Annotated[int, Meta(ge=0)]
+AttemptCount = Annotated[int, Meta(ge=1, le=100)]
+ConnectionCount = Annotated[int, Meta(ge=1)]
+HeaderBytes = Annotated[int, Meta(ge=256)]
+BodyBytes = Annotated[int, Meta(ge=0)]
+LimitSeconds = Annotated[float, Meta(gt=0.0)]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """What callers may send, and how long they may be idle; bytes and seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 67_108_864
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """The operator's configuration, and what of it could not be read."""
+
+    intents: RoutingIntents
+    limits: CallerLimits
+    faults: tuple[Fault, ...] = ()
+
+
+def decode_configuration(
+    spec: Any, settings: AdapterSettings
+) -> Configuration | Unreadable:
+    """Return the operator's configuration of its document.
+
+    Only a document without a version is unreadable as a whole, as nothing would tell
+    which of two is the later one.
+    """
+    if not isinstance(spec, dict):
+        return Unreadable(reason="not a table")
+    reader = FieldReader(table=spec, path="")
+    version = reader.require("version", VersionText, effect=PASSED_OVER)
+    if isinstance(version, Absent):
+        return Unreadable(reason=f"version: {reader.faults[-1].reason}")
+    intents = RoutingIntents(
+        revision=int(version, 16),
+        services=_read_services(reader, settings),
+        routes=_read_routes(reader),
+    )
+    limits = _read_limits(reader)
+    return Configuration(intents=intents, limits=limits, faults=tuple(reader.faults))
+
+
+def apply_limits(limits: LimitSettings, told: CallerLimits) -> LimitSettings:
+    """Return the limits under which callers keep within what they were told."""
+    return replace(
+        limits,
+        header_bytes=told.header_bytes + REQUEST_LINE_BYTES,
+        body_bytes=told.body_bytes,
+        keep_alive_s=told.idle_timeout_s,
+    )
+
+
+def _read_limits(reader: FieldReader) -> CallerLimits:
+    usual = CallerLimits()
+    if "limits" not in reader.table:
+        return usual
+    limits = reader.enter("limits", effect="usual limits")
+    if isinstance(limits, Absent):
+        return usual
+    return CallerLimits(
+        header_bytes=limits.read("headerBytes", HeaderBytes, usual.header_bytes),
+        body_bytes=limits.read("bodyBytes", BodyBytes, usual.body_bytes),
+        header_timeout_s=limits.read(
+            "headerTimeoutS", LimitSeconds, usual.header_timeout_s
+        ),
+        idle_timeout_s=limits.read("idleTimeoutS", LimitSeconds, usual.idle_timeout_s),
+    )
+
+
+def _read_services(
+    reader: FieldReader, settings: AdapterSettings
+) -> tuple[ServiceIntent, ...]:
+    services: dict[str, ServiceIntent] = {}
+    for row in reader.iterate("clusters", effect=PASSED_OVER):
+        if isinstance(row, Absent):
+            continue
+        name = row.require("name", Name, effect=PASSED_OVER)
+        if isinstance(name, Absent):
+            continue
+        if name in services:
+            row.note("name", f"{name!r} stands twice", PASSED_OVER)
+            continue
+        services[name] = _read_service(name, row, settings)
+    return tuple(services.values())
+
+
+def _read_service(
+    name: str, row: FieldReader, settings: AdapterSettings
+) -> ServiceIntent:
+    path = row.read("healthPath", Path, HEALTH_PATH)
+    return ServiceIntent(
+        name=name,
+        server_connections=row.read(
+            "maxConnections", ConnectionCount, SERVER_CONNECTIONS
+        ),
+        retry_share=settings.retry_share * RETRY_PART,
+        hedge_share=settings.retry_share * HEDGE_PART,
+        probes=ProbeBudget(path=path, per_second=settings.probes_per_second),
+    )
+
+
+def _read_routes(reader: FieldReader) -> tuple[Route, ...]:
+    if not isinstance(reader.table.get("listeners"), list):
+        reader.iterate("listeners", effect=NO_ROUTES)
+        return (_make_suspended(ANY_VIRTUAL_HOST),)
+    read = [
+        route
+        for row in reader.iterate("listeners", effect=UNKNOWN_HOSTS_SUSPENDED)
+        for route in _read_virtual_host(row)
+    ]
+    suspended = {r.virtual_host for r in read if _suspends_all(r)}
+    routes: dict[tuple[str, str], Route] = {}
+    for route in read:
+        if route.virtual_host not in suspended or _suspends_all(route):
+            routes.setdefault((route.virtual_host, route.path_prefix), route)
+    return tuple(routes.values())
+
+
+def _suspends_all(route: Route) -> bool:
+    """Return True if a route stands for rules whose paths cannot be read."""
+    return route.is_suspended and route.path_prefix == ALL_PATHS
+
+
+def _read_virtual_host(row: FieldReader | Absent) -> list[Route]:
+    """Return the routes of one virtual host, named in callers' Host field."""
+    if isinstance(row, Absent):
+        return [_make_suspended(ANY_VIRTUAL_HOST)]
+    host = row.require("host", Text, effect=UNKNOWN_HOSTS_SUSPENDED)
+    if isinstance(host, Absent):
+        return [_make_suspended(ANY_VIRTUAL_HOST)]
+    virtual_host = host.lower()
+    if not isinstance(row.table.get("rules"), list):
+        row.iterate("rules", effect=VIRTUAL_HOST_SUSPENDED)
+        return [_make_suspended(virtual_host)]
+    routes: list[Route] = []
+    for rule in row.iterate("rules", effect=VIRTUAL_HOST_SUSPENDED):
+        route = ABSENT if isinstance(rule, Absent) else _read_rule(virtual_host, rule)
+        if isinstance(route, Absent):
+            # It may have matched any path, and been the longest match of it.
+            return [_make_suspended(virtual_host)]
+        routes.append(route)
+    return routes
+
+
+def _read_rule(virtual_host: str, rule: FieldReader) -> Route | Absent:
+    """Return a rule's route, suspended where only its paths can be read."""
+    match = rule.enter("match", effect=VIRTUAL_HOST_SUSPENDED)
+    if isinstance(match, Absent):
+        return ABSENT
+    prefix = match.require("pathPrefix", Path, effect=VIRTUAL_HOST_SUSPENDED)
+    if isinstance(prefix, Absent):
+        return ABSENT
+    action = rule.enter("action", effect=SUSPENDED)
+    services = ABSENT if isinstance(action, Absent) else _read_destination(action)
+    if isinstance(action, Absent) or isinstance(services, Absent):
+        return _make_suspended(virtual_host, prefix)
+    name = rule.read("name", Text, prefix)
+    return Route(
+        name=f"{virtual_host}/{name}",
+        virtual_host=virtual_host,
+        path_prefix=prefix,
+        services=services,
+        idempotent=_is_idempotent(rule),
+        timeout_s=action.read("timeoutS", Seconds, 0.0),
+        aim_s=rule.read("targetLatencyS", Seconds, 0.0),
+        attempts=action.read("attempts", AttemptCount, ONE_ATTEMPT),
+        urgency=min(LEAST_URGENCY, rule.read("priority", Rank, USUAL_URGENCY)),
+    )
+
+
+def _is_idempotent(rule: FieldReader) -> bool:
+    """Return True if a rule's requests may run more than once, for certain."""
+    kind = rule.require("kind", str, effect=NOT_REPEATABLE)
+    if isinstance(kind, Absent):
+        return False
+    if kind not in KNOWN_KINDS:
+        rule.note("kind", f"unknown kind {kind!r}", NOT_REPEATABLE)
+    return kind in IDEMPOTENT_KINDS
+
+
+def _read_destination(action: FieldReader) -> tuple[WeightedService, ...] | Absent:
+    """Return the services of a rule with their weights, all of them or none.
+
+    The part of a service that cannot be read must not go to the others.
+    """
+    if action.table.get("weightedServices") is None:
+        service = action.require("service", Name, effect=SUSPENDED)
+        if isinstance(service, Absent):
+            return ABSENT
+        return (WeightedService(service=service, weight=1.0),)
+    parts: list[WeightedService] = []
+    for row in action.iterate("weightedServices", effect=SUSPENDED):
+        if isinstance(row, Absent):
+            return ABSENT
+        service = row.require("service", Name, effect=SUSPENDED)
+        weight = row.require("weight", Weight, effect=SUSPENDED)
+        if isinstance(service, Absent) or isinstance(weight, Absent):
+            return ABSENT
+        parts.append(WeightedService(service=service, weight=weight))
+    if not parts and isinstance(action.table["weightedServices"], list):
+        action.note("weightedServices", "no service", SUSPENDED)
+    return tuple(parts) or ABSENT
+
+
+def _make_suspended(virtual_host: str, prefix: str = ALL_PATHS) -> Route:
+    return Route(
+        name=f"{virtual_host}{prefix} (unreadable)",
+        virtual_host=virtual_host,
+        path_prefix=prefix,
+        is_suspended=True,
+    )
--- /dev/null
+++ b/src/siskinpier/platform/field_reading.py
@@ -0,0 +1,86 @@
+"""Reading a document field by field, so that one bad field costs only itself."""
+
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import msgspec
+
+from .validation import describe
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """What is wrong at a path of a document, and what it costs."""
+
+    path: str
+    reason: str
+    effect: str
+
+
+@dataclass(frozen=True, slots=True)
+class Absent:
+    """A field has no value that can be used; the fault is noted already."""
+
+
+ABSENT: Final = Absent()
+
+
+@dataclass(slots=True, kw_only=True)
+class FieldReader:
+    """One table of a document; faults go to a list that all tables share."""
+
+    table: dict[str, Any]
+    path: str
+    faults: list[Fault] = field(default_factory=list)
+
+    def read(self, name: str, kind: Any, default: Any) -> Any:
+        """Return a field of a type that `msgspec` knows, or the default.
+
+        A field that is missing has its default without a fault.
+        """
+        if name not in self.table:
+            return default
+        value = self._convert(name, kind, effect=f"taken as {default!r}")
+        return default if isinstance(value, Absent) else value
+
+    def require(self, name: str, kind: Any, *, effect: str) -> Any:
+        """Return a field of a type, or `ABSENT`; `effect` is what that costs."""
+        if name not in self.table:
+            self.note(name, "missing", effect)
+            return ABSENT
+        return self._convert(name, kind, effect=effect)
+
+    def enter(self, name: str, *, effect: str) -> "FieldReader | Absent":
+        """Return the reader of a table inside this one, or `ABSENT`."""
+        table = self.require(name, dict[str, Any], effect=effect)
+        return table if isinstance(table, Absent) else self._make_inner(name, table)
+
+    def iterate(self, name: str, *, effect: str) -> "list[FieldReader | Absent]":
+        """Return a reader for each row of a list; a row that is no table is absent."""
+        rows = self.require(name, list[Any], effect=effect)
+        if isinstance(rows, Absent):
+            return []
+        made: list[FieldReader | Absent] = []
+        for index, row in enumerate(rows):
+            if isinstance(row, dict):
+                made.append(self._make_inner(f"{name}[{index}]", row))
+                continue
+            self.note(f"{name}[{index}]", f"Expected `object`, got {row!r:.40}", effect)
+            made.append(ABSENT)
+        return made
+
+    def note(self, name: str, reason: str, effect: str) -> None:
+        """Note a fault of a field."""
+        path = f"{self.path}.{name}".removeprefix(".")
+        self.faults.append(Fault(path=path, reason=reason, effect=effect))
+
+    def _convert(self, name: str, kind: Any, *, effect: str) -> Any:
+        try:
+            return msgspec.convert(self.table[name], kind)
+        except msgspec.ValidationError as exc:
+            self.note(name, describe(exc), effect)
+            return ABSENT
+
+    def _make_inner(self, name: str, table: dict[str, Any]) -> "FieldReader":
+        path = f"{self.path}.{name}".removeprefix(".")
+        return FieldReader(table=table, path=path, faults=self.faults)
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -19,14 +19,8 @@
 from ..core.platform_results import Conflicted, Stored, Unavailable, Written
 from ..edge.shell import Shell
 from ..logs import log_event, log_warning
-from .documents import (
-    Unreadable,
-    apply_limits,
-    decode_configuration,
-    decode_host,
-    decode_server,
-    encode_host,
-)
+from .configuration import Configuration, apply_limits, decode_configuration
+from .documents import Unreadable, decode_host, decode_server, encode_host
 from .settings import AdapterSettings
 from .store import ChangeList, HistoryLost, ObjectList, Store, StoreObject
 
@@ -47,6 +41,8 @@
 HOSTS_POLL_S: Final = 20.0
 # The same for a host that has heard no other yet, as lists may lag.
 HOSTS_POLL_ALONE_S: Final = 1.0
+# Faults of one version of the configuration that are logged each by itself.
+FAULTS_LOGGED: Final = 20
 
 
 class Relay:
@@ -59,6 +55,7 @@
         self._store = store
         self._settings = settings
         self._unreadable: dict[str, str] = {}
+        self._noted_revision = 0
 
     async def run(self) -> None:
         """Watch whenever the core wants it, until cancelled."""
@@ -218,6 +215,7 @@
         if isinstance(decoded, Unreadable):
             self._note_unreadable(f"config/{item.name}", decoded)
             return
+        self._note_faults(decoded)
         shell = self._shell
         limits = apply_limits(shell.settings.limits, decoded.limits)
         if limits != shell.settings.limits:
@@ -266,6 +264,24 @@
             return None
         return decoded
 
+    def _note_faults(self, decoded: Configuration) -> None:
+        """Log what of a version could not be read, once for each version."""
+        revision = decoded.intents.revision
+        if revision <= self._noted_revision:
+            return
+        self._noted_revision = revision
+        for fault in decoded.faults[:FAULTS_LOGGED]:
+            log_warning(
+                "configuration-fault",
+                revision=revision,
+                path=fault.path,
+                reason=fault.reason,
+                effect=fault.effect,
+            )
+        left_out = len(decoded.faults) - FAULTS_LOGGED
+        if left_out > 0:
+            log_warning("configuration-faults", revision=revision, left_out=left_out)
+
     def _note_unreadable(self, name: str, decoded: Unreadable) -> None:
         """Log an entry that is passed over, once for each reason."""
         if self._unreadable.get(name) != decoded.reason:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -7,17 +7,13 @@
 
 from siskinpier.core.messages import RegisteredServer
 from siskinpier.platform.documents import (
-    Configuration,
     Unreadable,
-    apply_limits,
-    decode_configuration,
     decode_host,
     decode_server,
     encode_host,
 )
 from siskinpier.platform.fields import parse_load
 from siskinpier.platform.settings import AdapterSettings, SettingsError, parse_settings
-from siskinpier.settings.host import LimitSettings
 
 SETTINGS_TEXT = """
 nodeName=front-1
@@ -42,32 +38,6 @@
     "status": {"state": "ready", "sequence": 4, "warmupLeftS": 1.5},
     "born": 17,
 }
-CONFIG: dict[str, Any] = {
-    "version": "0000001c",
-    "listeners": [
-        {
-            "host": "Films.Example",
-            "rules": [
-                {
-                    "name": "r",
-                    "kind": "safe",
-                    "targetLatencyS": 0.25,
-                    "priority": 1,
-                    "match": {"pathPrefix": "/a/"},
-                    "action": {
-                        "weightedServices": [
-                            {"service": "s", "weight": 90},
-                            {"service": "t", "weight": 10},
-                        ],
-                        "timeoutS": 1.2,
-                        "attempts": 2,
-                    },
-                }
-            ],
-        }
-    ],
-    "clusters": [{"name": "s", "healthPath": "/up", "maxConnections": 26}],
-}
 
 
 def make_settings() -> AdapterSettings:
@@ -79,16 +49,23 @@
     """Return a copy with one field changed, or left out for None."""
     made = copy.deepcopy(document)
     *tables, last = path.split(".")
-    table = made
+    table: Any = made
     for name in tables:
-        table = table[name]
+        table = table[_get_key(name)]
+    key = _get_key(last)
     if value is None:
-        del table[last]
+        del table[key]
+    elif key == len(table) and isinstance(table, list):
+        table.append(value)
     else:
-        table[last] = value
+        table[key] = value
     return made
 
 
+def _get_key(name: str) -> Any:
+    return int(name) if name.isdigit() else name
+
+
 class TestSettings:
     """Lines of the settings file."""
 
@@ -174,42 +151,6 @@
         assert isinstance(decode_server("i-1", spec, None), Unreadable)
 
 
-class TestConfiguration:
-    """The operator's configuration."""
-
-    def test_routes(self) -> None:
-        decoded = decode_configuration(CONFIG, make_settings())
-        assert isinstance(decoded, Configuration)
-        assert decoded.intents.revision == 0x1C
-        (route,) = decoded.intents.routes
-        assert (route.virtual_host, route.path_prefix) == ("films.example", "/a/")
-        assert [(p.service, p.weight) for p in route.services] == [("s", 90), ("t", 10)]
-        assert (route.idempotent, route.urgency, route.attempts) == (True, 1, 2)
-        assert (route.timeout_s, route.aim_s) == (1.2, 0.25)
-        (service,) = decoded.intents.services
-        assert (service.probes.path, service.server_connections) == ("/up", 26)
-
-    @pytest.mark.parametrize(
-        ("path", "value"),
-        [("version", "28"), ("version", None), ("listeners", 3), ("clusters", None)],
-    )
-    def test_unreadable(self, path: str, value: Any) -> None:
-        decoded = decode_configuration(change(CONFIG, path, value), make_settings())
-        assert isinstance(decoded, Unreadable)
-
-
-class TestLimits:
-    """Callers may use what the operator told them."""
-
-    def test_limits_follow_the_configuration(self) -> None:
-        told = {"headerBytes": 4096, "bodyBytes": 9, "idleTimeoutS": 60}
-        decoded = decode_configuration({**CONFIG, "limits": told}, make_settings())
-        assert isinstance(decoded, Configuration)
-        limits = apply_limits(LimitSettings(), decoded.limits)
-        assert (limits.keep_alive_s, limits.body_bytes) == (60.0, 9)
-        assert limits.header_bytes >= 4096
-
-
 class TestHosts:
     """Objects of the entry hosts, which they write themselves."""
 
