Heed servers that say in answers that they leave, or want a pause

Cause: `Server-Leaving` and the `Retry-After` of a server's 503 were not read. A server whose entry never says that it drains was given work until its entry went.

Change: an answer with the mark sets that life of the server aside on the host that heard it, at once; the host tells its failure domain, and one host of each other domain that tells its own. The mark outlives lapsed entries, a cut relay and a restart of the home (greeting), and ends with the server's next life or an entry written anew later. Waiting calls are placed elsewhere at once. A pause holds for the host that was told; the home learns it with the end of the slot. Calls for which all servers are paused beyond their aim are refused at once with the shortest pause. Probes keep to it too. Metrics have a port of their own, which deploy/system.toml names.

Tests: tests/test_server_words.py in virtual time (bounds 0.3 s in the domain, 1 s everywhere; two sends within 0.5 s of an answer with a pause).

--- a/bench/virtual/host.py
+++ b/bench/virtual/host.py
@@ -259,7 +259,6 @@
                 load=reply.load,
                 draining=reply.draining,
                 verdict=reply.verdict,
-                retry_after_s=reply.retry_after_s,
             )
         )
 
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -95,8 +95,11 @@
     """Take no notice of servers that leave."""
     make = registry._make_server
 
-    def make_active(server: RegisteredServer, intent: ServiceIntent) -> BackendServer:
-        return replace(make(server, intent), state=ServerState.ACTIVE)
+    def make_active(
+        server: RegisteredServer, intent: ServiceIntent, *, is_leaving: bool
+    ) -> BackendServer:
+        made = make(server, intent, is_leaving=is_leaving)
+        return replace(made, state=ServerState.ACTIVE)
 
     registry._make_server = make_active
 
--- a/src/siskinpier/core/cluster/greeting.py
+++ b/src/siskinpier/core/cluster/greeting.py
@@ -3,6 +3,7 @@
 from ..effects import Effect
 from ..routing.quarantine import tell_crashes
 from ..state import HostState
+from .leaving_marks import tell_marks
 from .server_marks import tell_leaving_servers
 
 
@@ -16,3 +17,4 @@
         return
     tell_crashes(state, member, out)
     tell_leaving_servers(state, member, out)
+    tell_marks(state, member, out)
--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -12,12 +12,18 @@
 from ..configuration.intents import BackendServer, ServerState, ServiceIntent
 from ..effects import Effect, LogDecision, SendMessage, SetTimer
 from ..events import ServersChanged, ServersListed
-from ..messages import RegisteredServer, ServersNotice, ServersRequest
-from ..routing.dispatch import drain_queue
+from ..messages import (
+    RegisteredServer,
+    ServerNotice,
+    ServersNotice,
+    ServersRequest,
+)
+from ..routing.dispatch import drain_queue, place_stranded
 from ..state import HostState
 from ..timers import LapseDue
 from .broadcast import tell_domain
 from .heartbeats import get_live_hosts, make_service, place
+from .leaving_marks import HeardFrom, clear_marks, mark_leaving
 
 # Time after an outage for servers whose entries lapsed in it to write them again,
 # seconds. A little less than the two that they may take, as one that left in truth must
@@ -74,6 +80,30 @@
     _take(state, notice.revision, notice.servers, gone, now, out)
 
 
+def note_leaving(state: HostState, name: str, now: float, out: list[Effect]) -> None:
+    """Set a server aside that said in an answer that it leaves."""
+    entry = state.registry.servers.get(name)
+    if entry is not None and mark_leaving(
+        state, name, entry.started, HeardFrom(), now, out
+    ):
+        refresh_services(state, (entry.service,), now, out)
+
+
+def take_leaving_notice(
+    state: HostState,
+    notice: ServerNotice,
+    sender: str,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Take in that a server told another host that it leaves."""
+    member = state.members.get(sender)
+    domain = member.failure_domain if member is not None else ""
+    heard_from = HeardFrom(host=sender, failure_domain=domain)
+    if mark_leaving(state, notice.server, notice.started, heard_from, now, out):
+        refresh_services(state, (notice.service,), now, out)
+
+
 def request_servers(state: HostState, host: str, out: list[Effect]) -> None:
     """Ask a peer for its whole registry."""
     member = state.members.get(host)
@@ -105,7 +135,11 @@
     if not state.settings.servers_register:
         return intent
     servers = tuple(
-        _make_server(server, intent)
+        _make_server(
+            server,
+            intent,
+            is_leaving=server.is_draining or server.name in state.registry.leaving,
+        )
         for server in state.registry.servers.values()
         if server.service == intent.name
     )
@@ -124,6 +158,7 @@
         service = make_service(state, fill_service(state, old.intent), old, now)
         state.services[name] = service
         place(state, service, hosts)
+        place_stranded(state, service, now, out)
         drain_queue(state, service, now, out)
 
 
@@ -177,7 +212,10 @@
     out: list[Effect],
 ) -> None:
     registry = state.registry
+    servers = tuple(servers)
     touched: set[str] = set()
+    changed = [s for s in servers if registry.servers.get(s.name) != s]
+    clear_marks(state, changed, revision, now)
     for name in gone:
         old = registry.servers.pop(name, None)
         if old is not None:
@@ -219,14 +257,16 @@
     tell_domain(state, notice, out)
 
 
-def _make_server(server: RegisteredServer, intent: ServiceIntent) -> BackendServer:
+def _make_server(
+    server: RegisteredServer, intent: ServiceIntent, *, is_leaving: bool
+) -> BackendServer:
     return BackendServer(
         name=server.name,
         address=server.address,
         failure_domain=server.failure_domain,
         slots=server.slots,
         connections=intent.server_connections or DEFAULT_CONNECTIONS,
-        state=ServerState.DRAINING if server.is_draining else ServerState.ACTIVE,
+        state=ServerState.DRAINING if is_leaving else ServerState.ACTIVE,
     )
 
 
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -49,7 +49,8 @@
     # Another server than the one meant answered at its address.
     is_other_server: bool = False
     verdict: Verdict | None = None
-    retry_after_s: float | None = None
+    # For how long the server wants nothing more from this host.
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,6 +90,7 @@
     is_other_server: bool = False
     bytes_used: int = 0
     report: LoadReport | None = None
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -111,11 +111,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerNotice:
-    """A backend server says by itself whether it leaves."""
+    """A backend server says by itself whether it leaves.
+
+    `started` names its life where servers register.
+    """
 
     service: str
     server: str
     leaving: bool
+    started: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -250,7 +254,8 @@
 class SlotEnd:
     """A slot is free again; without a `number`, the request and all its grants end.
 
-    `load` is what the server reported with its answer.
+    `load` is what the server reported with its answer, `pause_s` for how long it wants
+    nothing more from the holder.
     """
 
     host: str
@@ -260,6 +265,7 @@
     use: SlotUse
     latency_s: float
     load: LoadReport | None = None
+    pause_s: float = 0.0
 
 
 Message = (
--- a/src/siskinpier/core/problems.py
+++ b/src/siskinpier/core/problems.py
@@ -25,6 +25,17 @@
     )
 
 
+def make_route_suspended(virtual_host: str) -> Problem:
+    """Return the refusal of a call whose route is suspended."""
+    return Problem(
+        status=503,
+        title="Route suspended",
+        detail=f"the route of {virtual_host[:100]!r} is suspended",
+        verdict=Verdict.NOT_RUN,
+        retry_after_s=RETRY_SOON_S,
+    )
+
+
 def make_not_ready(detail: str, verdict: Verdict = Verdict.NOT_RUN) -> Problem:
     """Return the refusal of a host that cannot serve calls now."""
     return Problem(
@@ -58,6 +69,17 @@
     )
 
 
+def make_paused(service: str, retry_after_s: float, verdict: Verdict) -> Problem:
+    """Return the refusal of a call whose servers all asked its host for a pause."""
+    return Problem(
+        status=503,
+        title="Backend servers paused",
+        detail=f"all backend servers of {service!r} want no call from here now",
+        verdict=verdict,
+        retry_after_s=retry_after_s,
+    )
+
+
 def make_overloaded(
     service: str, retry_after_s: float, verdict: Verdict = Verdict.NOT_RUN
 ) -> Problem:
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -23,6 +23,7 @@
     answer_servers_request,
     drop_lapsed,
     take_changed,
+    take_leaving_notice,
     take_listed,
     take_servers_notice,
 )
@@ -121,6 +122,7 @@
     LapseDue,
     OrderRetry,
     PatienceDue,
+    PauseDue,
     ProbesDue,
     RelayDue,
     ShutdownStep,
@@ -229,7 +231,7 @@
             service = state.services.get(name)
             if service is not None:
                 send_due_spare(state, service, now, out)
-        case PatienceDue(service=name):
+        case PatienceDue(service=name) | PauseDue(service=name):
             service = state.services.get(name)
             if service is not None:
                 drain_queue(state, service, now, out)
@@ -266,6 +268,8 @@
             take_report(state, message, event.now, out)
         case QuarantineRelease() as message:
             take_release(state, message)
+        case ServerNotice() as message if state.settings.servers_register:
+            take_leaving_notice(state, message, event.sender, event.now, out)
         case ServerNotice() as message:
             take_server_notice(state, message, event.now, out)
         case SlotRequest() as message:
--- a/src/siskinpier/core/routing/attempts.py
+++ b/src/siskinpier/core/routing/attempts.py
@@ -43,10 +43,7 @@
     )
     active.stage = Stage.SENT
     drop_asks(active, out)
-    if active.has_waiting_bound:
-        active.has_waiting_bound = False
-        timer = CallDeadline(call_id=active.call.call_id)
-        out.append(SetTimer(timer=timer, at=active.call.deadline))
+    end_waiting(active, out)
     server.in_flight += 1
     active.attempts[-1].was_full = server.in_flight >= server.intent.slots
     _log_route(active, server, reason, now, out)
@@ -77,6 +74,15 @@
     )
 
 
+def end_waiting(active: ActiveCall, out: list[Effect]) -> None:
+    """Let a call's timer stand for its deadline again, not for the end of waiting."""
+    if not active.has_waiting_bound:
+        return
+    active.has_waiting_bound = False
+    timer = CallDeadline(call_id=active.call.call_id)
+    out.append(SetTimer(timer=timer, at=active.call.deadline))
+
+
 def forward(
     service: ServiceRuntime,
     active: ActiveCall,
@@ -178,6 +184,7 @@
         use=use,
         latency_s=round(attempt.latency_s or 0.0, 4),
         load=attempt.load,
+        pause_s=attempt.pause_s,
     )
     out.append(SendMessage(host=grant.home, address=grant.address, message=message))
 
--- a/src/siskinpier/core/routing/balance.py
+++ b/src/siskinpier/core/routing/balance.py
@@ -1,7 +1,7 @@
 """Choosing a backend server by calls in flight and smoothed latency."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import sqrt
 from typing import Final
 
@@ -47,6 +47,8 @@
     slow_since: float = 0.0
     # Left this host's probes unanswered.
     is_silent: bool = False
+    # Times until which it wants nothing from a host, by its name; empty for this one.
+    pauses: dict[str, float] = field(default_factory=dict)
 
 
 def get_slot_limit(server: ServerRuntime, now: float) -> int:
@@ -71,6 +73,11 @@
     return now < server.ejected_until
 
 
+def is_paused(server: ServerRuntime, now: float, holder: str = "") -> bool:
+    """Return True while the server wants nothing from a host, by default this one."""
+    return now < server.pauses.get(holder, 0.0)
+
+
 def has_room(server: ServerRuntime, now: float) -> bool:
     """Return True if the backend server may be sent one more call now."""
     if is_draining(server) or is_ejected(server, now):
@@ -105,16 +112,20 @@
     avoid: set[str],
     *,
     idempotent: bool = True,
+    holder: str = "",
 ) -> ServerRuntime | None:
     """Return the backend server of the lowest score that has room, or None.
 
-    A server on trial gets a non-idempotent call only when no other has room.
+    One that wants nothing from the host that holds the call is passed over. A server
+    on trial gets a non-idempotent call only when no other has room.
     """
     best: ServerRuntime | None = None
     best_score = 0.0
     for server in servers:
         if server.intent.name in avoid or not has_room(server, now):
             continue
+        if is_paused(server, now, holder):
+            continue
         score = get_score(server)
         if server.is_on_trial and not idempotent:
             score += TRIAL_SCORE
--- a/src/siskinpier/core/routing/calls.py
+++ b/src/siskinpier/core/routing/calls.py
@@ -109,6 +109,8 @@
     # The time that the answer took, once it is whole.
     latency_s: float | None = None
     load: LoadReport | None = None
+    # For how long its server wants nothing more, seconds.
+    pause_s: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinpier/core/routing/candidates.py
+++ b/src/siskinpier/core/routing/candidates.py
@@ -60,7 +60,7 @@
     if now < active.slow_from:
         return None
     slow = [s for s in servers if is_slow(s, now)]
-    server = choose_server(slow, now, active.get_tried(), idempotent=active.idempotent)
+    server = _choose(slow, active, now)
     if server is None or _is_wait_better(service, servers, active, server, now):
         return None
     return server
@@ -71,7 +71,19 @@
 ) -> ServerRuntime | None:
     """Return the best server with room that is not slow now, or None."""
     fast = [s for s in servers if not is_slow(s, now)]
-    return choose_server(fast, now, active.get_tried(), idempotent=active.idempotent)
+    return _choose(fast, active, now)
+
+
+def _choose(
+    servers: Sequence[ServerRuntime], active: ActiveCall, now: float
+) -> ServerRuntime | None:
+    return choose_server(
+        servers,
+        now,
+        active.get_tried(),
+        idempotent=active.idempotent,
+        holder=active.holder,
+    )
 
 
 def estimate_answer_s(service: ServiceRuntime, active: ActiveCall, now: float) -> float:
--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -5,16 +5,17 @@
 
 from ..effects import Effect, LogDecision, SetTimer
 from ..messages import SpareNotice
-from ..problems import make_no_server, make_overloaded
+from ..problems import make_no_server, make_overloaded, make_paused
 from ..state import HostState, ServiceRuntime
 from ..timers import CallDeadline, PatienceDue
+from ..verdict import Problem
 from .admission import (
     estimate_wait_s,
     get_retry_after_s,
     is_hopeless,
     is_too_late,
 )
-from .attempts import abandon, forward, send
+from .attempts import abandon, end_waiting, forward, send
 from .balance import ServerRuntime, choose_server, has_room, has_tried_all, is_draining
 from .calls import ActiveCall, Stage
 from .candidates import (
@@ -26,6 +27,7 @@
 from .crossing import is_crossing_worth, may_cross
 from .forwarding import choose_peer, list_forwardable, report_spare, take_spare
 from .hedging import plan_hedge
+from .pauses import get_pause_end
 from .quarantine import judge_quarantine
 from .refusals import forget, refuse
 from .slot_requests import ask_slot, ask_spare
@@ -169,7 +171,7 @@
     """Refuse a call that waited in vain, while its caller can still come back."""
     abandon(state, active, out)
     forget(state, active, out)
-    _refuse_overloaded(service, active, now, out)
+    refuse(active, _make_overloaded(service, active, now), out)
 
 
 def _get_waiting_bound(active: ActiveCall) -> float:
@@ -235,13 +237,14 @@
     now: float,
     out: list[Effect],
 ) -> None:
-    usable = [s for s in service.owned if not is_draining(s)]
-    if not usable:
-        is_own = active.call.hops == 0 and state.settings.grants_slots
-        if is_own and ask_slot(state, service, active, now, out):
-            return
-        forget(state, active, out)
-        refuse(active, make_no_server(active.call.service, active.worst), out)
+    if not _has_usable(service):
+        problem = make_no_server(active.call.service, active.worst)
+        _ask_or_refuse(state, service, active, problem, now, out)
+        return
+    pause_end = get_pause_end(service.owned, active, now)
+    if pause_end is not None and _is_pause_too_long(service, active, pause_end):
+        problem = make_paused(active.call.service, pause_end - now, active.worst)
+        _ask_or_refuse(state, service, active, problem, now, out)
         return
     deadline = active.call.deadline
     if active.aim_s > 0.0 and state.settings.grants_slots:
@@ -250,11 +253,8 @@
         is_late = is_too_late(service, active.urgency, deadline, now)
     is_full = len(service.queue) >= service.intent.queue_limit
     if is_late or (is_full and not _make_room(state, service, active, now, out)):
-        is_own = active.call.hops == 0 and state.settings.grants_slots
-        if is_own and ask_slot(state, service, active, now, out):
-            return
-        forget(state, active, out)
-        _refuse_overloaded(service, active, now, out)
+        problem = _make_overloaded(service, active, now)
+        _ask_or_refuse(state, service, active, problem, now, out)
         return
     _wait(service, active, now, out)
     if active.slow_from > now and not active.holder:
@@ -263,6 +263,58 @@
             ask_spare(state, service, active, now, out)
 
 
+def place_stranded(
+    state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
+) -> None:
+    """Place waiting calls again for which no owned server will have room.
+
+    All owned servers leave, or want nothing from the hosts of the calls.
+    """
+    if not service.owned:
+        return
+    is_usable = _has_usable(service)
+    for call_id in service.queue.get_call_ids():
+        active = state.calls[call_id]
+        pause_end = get_pause_end(service.owned, active, now)
+        is_long = pause_end is not None and _is_pause_too_long(
+            service, active, pause_end
+        )
+        if is_usable and not is_long:
+            continue
+        service.queue.remove(active)
+        end_waiting(active, out)
+        _enqueue(state, service, active, now, out)
+
+
+def _has_usable(service: ServiceRuntime) -> bool:
+    return any(not is_draining(server) for server in service.owned)
+
+
+def _is_pause_too_long(
+    service: ServiceRuntime, active: ActiveCall, pause_end: float
+) -> bool:
+    """Return True if a call that waits for the end of a pause misses its aim."""
+    if active.aim_s == 0.0:
+        return pause_end + service.usual_s > active.call.deadline
+    return active.is_late(service.usual_s, pause_end)
+
+
+def _ask_or_refuse(
+    state: HostState,
+    service: ServiceRuntime,
+    active: ActiveCall,
+    problem: Problem,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Ask another home for a call that this one cannot serve, or refuse it."""
+    is_own = active.call.hops == 0 and state.settings.grants_slots
+    if is_own and ask_slot(state, service, active, now, out):
+        return
+    forget(state, active, out)
+    refuse(active, problem, out)
+
+
 def _wait(
     service: ServiceRuntime, active: ActiveCall, now: float, out: list[Effect]
 ) -> None:
@@ -305,13 +357,12 @@
     victim = state.calls[last[1]]
     service.queue.remove(victim)
     forget(state, victim, out)
-    _refuse_overloaded(service, victim, now, out)
+    refuse(victim, _make_overloaded(service, victim, now), out)
     return True
 
 
-def _refuse_overloaded(
-    service: ServiceRuntime, active: ActiveCall, now: float, out: list[Effect]
-) -> None:
+def _make_overloaded(
+    service: ServiceRuntime, active: ActiveCall, now: float
+) -> Problem:
     retry_after_s = get_retry_after_s(service, now)
-    problem = make_overloaded(active.call.service, retry_after_s, active.worst)
-    refuse(active, problem, out)
+    return make_overloaded(active.call.service, retry_after_s, active.worst)
--- a/src/siskinpier/core/routing/probing.py
+++ b/src/siskinpier/core/routing/probing.py
@@ -2,17 +2,17 @@
 
 from typing import Final
 
-from ..cluster.server_marks import note_server_leaving
 from ..effects import Effect, LogDecision, SendProbe, SetTimer
 from ..events import ProbeAnswered
 from ..state import HostState, ServiceRuntime
 from ..timers import ProbesDue
 from .attempts import note_other_server
-from .balance import ServerRuntime, is_draining, is_ejected
+from .balance import ServerRuntime, is_draining, is_ejected, is_paused
 from .full_servers import refresh_full_limits
 from .health import record_probe
 from .limits import refresh_limits
 from .probe_budget import note_probe_bytes, refresh_bucket
+from .server_words import note_leaving_word, take_pause
 from .speed_changes import note_silence, take_speed
 from .speeds import has_fallen_silent
 
@@ -51,12 +51,14 @@
         server.last_heard = event.now
         note_other_server(service, server, event.now, out)
         return
+    if event.pause_s is not None:
+        take_pause(state, service, server, event.pause_s, event.now, out)
     if event.report is not None:
         take_speed(state, service, server, event.report, event.now, out)
     is_healthy = event.latency_s is not None
     if is_healthy or event.draining:
         # A probe without an answer does not tell that a drain was called off.
-        note_server_leaving(
+        note_leaving_word(
             state, service, server, event.now, out, is_leaving=event.draining
         )
     if record_probe(server, event.now, is_healthy=is_healthy):
@@ -73,7 +75,7 @@
 ) -> None:
     """Ask the owned servers whose last report of their speed grew old."""
     for server in service.owned:
-        if is_draining(server):
+        if is_draining(server) or is_paused(server, now):
             continue
         if not server.is_silent and has_fallen_silent(server, now):
             note_silence(state, service, server, now, out)
@@ -90,7 +92,11 @@
     bucket = refresh_bucket(state, service, now)
     if bucket.rate == 0.0:
         return
-    stale = [s for s in service.owned if _get_age_s(s, now) > FRESH_S]
+    stale = [
+        server
+        for server in service.owned
+        if _get_age_s(server, now) > FRESH_S and not is_paused(server, now)
+    ]
     for server in sorted(stale, key=lambda s: -_get_need(s, now)):
         if not bucket.take(now):
             return
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from ..cluster.server_marks import note_server_leaving
 from ..effects import CutReply, Effect, LogDecision, RelayReply
 from ..events import AttemptFailed, ReplyFinished, ReplyStarted
 from ..problems import make_attempt_failed
@@ -22,6 +21,7 @@
 from .hedging import drop_rival, fall_back_to_rival, learn_hedge_time
 from .refusals import forget, refuse
 from .retrying import note_verdict, try_again
+from .server_words import note_leaving_word, take_pause
 from .speed_changes import take_speed
 
 SERVER_ERROR_STATUSES: Final = range(500, 600)
@@ -52,9 +52,12 @@
         return
     server = service.servers.get(attempt.target)
     if server is not None and not attempt.is_forward:
-        note_server_leaving(
+        note_leaving_word(
             state, service, server, event.now, out, is_leaving=event.draining
         )
+        if event.pause_s is not None:
+            take_pause(state, service, server, event.pause_s, event.now, out)
+            attempt.pause_s = event.pause_s
         server.reported_load = event.load
         attempt.load = event.report
     verdict = get_reply_verdict(
--- a/src/siskinpier/core/routing/slot_requests.py
+++ b/src/siskinpier/core/routing/slot_requests.py
@@ -16,6 +16,7 @@
 from .calls import ActiveCall, Ask, Stage
 from .crossing import may_cross
 from .forwarding import choose_peer
+from .pauses import get_paused
 
 # A home in the same failure domain gives word within this long, seconds.
 NEAR_ANSWER_S: Final = 0.08
@@ -45,7 +46,7 @@
     active.asked = home
     active.asked_at = now
     active.is_queued_there = False
-    _ask(state, active, member, now, out, is_spare=False)
+    _ask(state, service, active, member, now, out, is_spare=False)
     is_near = member.failure_domain == state.identity.failure_domain
     wait_s = NEAR_ANSWER_S if is_near else FAR_ANSWER_S
     timer = SlotDue(call_id=active.call.call_id)
@@ -84,7 +85,7 @@
     if not homes:
         return False
     best = max(homes, key=lambda member: (slots[member.name], member.name))
-    _ask(state, active, best, now, out, is_spare=True)
+    _ask(state, service, active, best, now, out, is_spare=True)
     return True
 
 
@@ -100,6 +101,7 @@
 
 def _ask(
     state: HostState,
+    service: ServiceRuntime,
     active: ActiveCall,
     home: Member,
     now: float,
@@ -124,7 +126,7 @@
         attempts_left=active.attempts_limit - len(active.attempts),
         left_s=round(active.call.deadline - now, 4),
         aim_left_s=round(active.aim_s - (now - active.arrived), 4),
-        tried=tuple(sorted(active.get_tried())),
+        tried=tuple(sorted(active.get_tried() | get_paused(service, now))),
         fingerprint=active.call.fingerprint,
         is_repeat=active.has_been_sent(),
         may_cross=not is_spare and may_cross(active),
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -28,7 +28,13 @@
     release,
     send,
 )
-from .balance import ServerRuntime, get_slot_limit, has_room, is_draining
+from .balance import (
+    ServerRuntime,
+    get_slot_limit,
+    has_room,
+    is_draining,
+    is_paused,
+)
 from .calls import ActiveCall, Attempt, Call, Grant, Stage
 from .candidates import PATIENCE_S, choose_fast, estimate_answer_s
 from .crossing import is_crossing_worth
@@ -37,6 +43,7 @@
 from .health import record_success
 from .hedging import learn_hedge_time
 from .refusals import forget, refuse
+from .server_words import take_pause
 from .slot_requests import DOUBT_S, ask_slot, ask_spare, drop_asks, withdraw
 from .speed_changes import take_speed
 from .speeds import is_slow
@@ -151,6 +158,12 @@
         if not ask.is_spare:
             _look_elsewhere(state, active, now, out)
         return
+    if is_paused(server, now):
+        # Granted before the home heard of the pause.
+        withdraw(state, sender, grant.call, grant.ask, out)
+        del active.asks[grant.ask]
+        place_call(state, service, active, now, out)
+        return
     service.queue.remove(active)
     _send_granted(state, active, server, grant, home, "granted", now, out)
 
@@ -198,7 +211,10 @@
         and len(active.attempts) < active.attempts_limit
         and grant.server not in active.get_tried()
     )
-    if server is None or home is None or is_draining(server) or not may_send:
+    is_usable = server is not None and not is_draining(server)
+    if server is None or not is_usable or is_paused(server, now):
+        may_send = False
+    if server is None or home is None or not may_send:
         withdraw(state, sender, grant.call, grant.ask, out, grant.number)
         return
     active.rival = active.attempt
@@ -352,6 +368,10 @@
         return
     if message.load is not None:
         take_speed(state, service, server, message.load, now, out)
+    if message.pause_s > 0.0:
+        take_pause(
+            state, service, server, message.pause_s, now, out, holder=message.host
+        )
     match message.use:
         case SlotUse.ANSWERED:
             record_success(server, message.latency_s, now)
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -131,6 +131,18 @@
 IntentsParser = Callable[[dict[str, object]], RoutingIntents | None]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeavingMark:
+    """A life of a registered server said that it leaves.
+
+    `revision` is that of the registry when it was heard, `at` the time.
+    """
+
+    started: int
+    revision: int
+    at: float
+
+
 @dataclass(slots=True, kw_only=True)
 class RegistryState:
     """The backend servers that registered, at a revision of the platform.
@@ -142,6 +154,8 @@
     revision: int = 0
     servers: dict[str, RegisteredServer] = field(default_factory=dict)
     lapsed: dict[str, float] = field(default_factory=dict)
+    # Servers that said in an answer that they leave, by name.
+    leaving: dict[str, LeavingMark] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinpier/core/timers.py
+++ b/src/siskinpier/core/timers.py
@@ -84,6 +84,15 @@
     service: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PauseDue:
+    """The end of a pause that a server asked of a host; empty for this one."""
+
+    service: str
+    server: str
+    holder: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RelayDue:
     """Time to tell that the watches work, or to notice that no relay does."""
@@ -108,6 +117,7 @@
     | HedgeDue
     | SlotDue
     | PatienceDue
+    | PauseDue
     | RelayDue
     | LapseDue
 )
--- a/src/siskinpier/edge/dialect.py
+++ b/src/siskinpier/edge/dialect.py
@@ -42,6 +42,9 @@
     def is_leaving(self, headers: Headers) -> bool:
         """Return True if a backend server says that it leaves."""
 
+    def read_pause(self, status: int, headers: Headers) -> float | None:
+        """Return for how long a server wants nothing from this host, in seconds."""
+
     def is_other_server(self, headers: Headers, server: str) -> bool:
         """Return True if the answer to a probe names another server."""
 
@@ -87,6 +90,10 @@
         """Return True if a backend server says that it leaves."""
         return get_header(headers, DRAINING) == b"1"
 
+    def read_pause(self, status: int, headers: Headers) -> float | None:
+        """Return None: servers say nothing of the kind here."""
+        return None
+
     def is_other_server(self, headers: Headers, server: str) -> bool:
         """Return False: answers to probes name no server."""
         return False
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -272,6 +272,7 @@
     async def _run_probe(self, effect: SendProbe) -> None:
         started = self.clock()
         latency_s: float | None = None
+        pause_s: float | None = None
         draining = is_other_server = False
         report: LoadReport | None = None
         size = 0
@@ -294,6 +295,7 @@
                     reply.headers, effect.server
                 )
                 report = self.dialect.read_report(reply.headers)
+                pause_s = self.dialect.read_pause(reply.status, reply.headers)
                 if reply.status < 400:
                     latency_s = self.clock() - started
             except AttemptError:
@@ -309,6 +311,7 @@
                 is_other_server=is_other_server,
                 bytes_used=size,
                 report=report,
+                pause_s=pause_s,
             )
         )
 
--- a/src/siskinpier/platform/fields.py
+++ b/src/siskinpier/platform/fields.py
@@ -1,5 +1,7 @@
 """The header fields of calls on the platform."""
 
+import re
+from http import HTTPStatus
 from typing import Final
 
 from ..core.effects import SendAttempt
@@ -9,6 +11,7 @@
 from ..edge.backends import BackendReply
 from ..edge.exchange import Exchange
 from ..edge.headers import Headers, get_header, strip_hop_by_hop
+from ..logs import log_warning
 
 REQUEST_ID: Final = b"x-request-id"
 # Milliseconds that the caller waits.
@@ -23,6 +26,10 @@
 LOAD: Final = b"x-server-load"
 SIGNATURE: Final = b"x-response-signature"
 RETRY_AFTER: Final = b"retry-after"
+# Present, as `1`, in all answers of a backend server that leaves.
+LEAVING: Final = b"server-leaving"
+# Seconds with a fraction; a longer text is not one.
+_SECONDS: Final = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 MISDIRECTED: Final = 421
 USUAL_PERCENT: Final = 100.0
 
@@ -60,6 +67,8 @@
             attempt=effect.attempt,
             status=reply.status,
             report=self.read_report(reply.headers),
+            draining=self.is_leaving(reply.headers),
+            pause_s=self.read_pause(reply.status, reply.headers),
             is_other_server=reply.status == MISDIRECTED,
             verdict=Verdict.NOT_RUN if is_not_run else None,
         )
@@ -69,8 +78,18 @@
         return parse_load(get_header(headers, LOAD))
 
     def is_leaving(self, headers: Headers) -> bool:
-        """Return False: the store alone tells which backend servers leave."""
-        return False
+        """Return True if a backend server says that it leaves."""
+        return get_header(headers, LEAVING) == b"1"
+
+    def read_pause(self, status: int, headers: Headers) -> float | None:
+        """Return for how long a server that turned a request away wants no other."""
+        value = get_header(headers, RETRY_AFTER)
+        if value is None or status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return None
+        if _SECONDS.fullmatch(value.strip()) is None:
+            log_warning("pause-unreadable", value=value[:40].decode("latin-1"))
+            return None
+        return float(value)
 
     def is_other_server(self, headers: Headers, server: str) -> bool:
         """Return True if the answer to a probe names another server."""
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -25,7 +25,7 @@
 from ..edge.sockets import make_listener
 from ..exits import ExitCode
 from ..log_writer import LineWriter
-from ..logs import log_event, set_up_logs
+from ..logs import log_event, log_warning, set_up_logs
 from ..metrics import HostMetrics
 from ..settings.host import (
     Address,
@@ -49,6 +49,8 @@
 from .store import Store
 
 HEARTBEAT_S: Final = 0.5
+# Where metrics are collected; deploy/system.toml names it.
+METRICS_PORT: Final = 9464
 # Callers that ask right before the host leaves still come for this long, seconds.
 ANNOUNCE_S: Final = 2.5
 # Time kept between the last answer and the platform's SIGKILL, seconds.
@@ -85,11 +87,12 @@
                 settings.peers,
             )
         ]
+        metrics = _listen_for_metrics(settings.ip)
     except (OSError, SettingsError, UnicodeDecodeError) as exc:
         print(f"siskinpier: cannot start: {path}: {exc}", file=sys.stderr)
         return ExitCode.BAD_INPUT
     anyio.run(
-        partial(_run, path, settings, sockets, writer),
+        partial(_run, path, settings, sockets, metrics, writer),
         backend="asyncio",
         backend_options={"use_uvloop": False},
     )
@@ -100,6 +103,7 @@
     path: str,
     settings: AdapterSettings,
     sockets: list[socket.socket],
+    metrics: list[socket.socket],
     writer: LineWriter,
 ) -> None:
     backends = BackendClient(id_field=REQUEST_ID, keep_alive_s=KEEP_ALIVE_S)
@@ -120,7 +124,7 @@
     relay = Relay(shell=shell, store=store, settings=settings)
     try:
         async with anyio.create_task_group() as tasks:
-            await _serve(shell, relay, watcher, sockets, tasks)
+            await _serve(shell, relay, watcher, sockets, metrics, tasks)
             tasks.cancel_scope.cancel()
     finally:
         with anyio.CancelScope(shield=True):
@@ -133,6 +137,7 @@
     relay: Relay,
     watcher: SettingsWatcher,
     sockets: list[socket.socket],
+    metrics: list[socket.socket],
     tasks: TaskGroup,
 ) -> None:
     callers, readiness, addresses, peers = sockets
@@ -143,7 +148,7 @@
     front = make_caller_server(shell, FrontApp(shell=shell))
     side = make_caller_server(shell, SideApp(shell=shell))
     async with anyio.create_task_group() as servers:
-        tasks.start_soon(side.serve, [readiness, addresses])
+        tasks.start_soon(side.serve, [readiness, addresses, *metrics])
         shell.handle(HostStarted(now=shell.clock()))
         tasks.start_soon(relay.run)
         tasks.start_soon(relay.register)
@@ -158,6 +163,18 @@
     log_event("end", host=shell.settings.name)
 
 
+def _listen_for_metrics(ip: str) -> list[socket.socket]:
+    """Return the socket for metrics, or none where its port is taken.
+
+    Metrics are served on the address for readiness too, and are no reason not to serve.
+    """
+    try:
+        return [make_listener(Address(ip=ip, port=METRICS_PORT))]
+    except OSError as exc:
+        log_warning("metrics-port-taken", port=METRICS_PORT, reason=str(exc))
+        return []
+
+
 def _make_host_settings(settings: AdapterSettings) -> HostSettings:
     shared = settings.peer_key or settings.store
     key = hashlib.sha256(f"siskinpier/{shared}".encode()).hexdigest()
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -123,6 +123,10 @@
     is_silent: bool = False
     # Ended, and another server has its address.
     is_replaced: bool = False
+    # Says in all its answers that it leaves.
+    says_leaving: bool = False
+    # Turns all calls away and asks for this pause, seconds.
+    pause_s: float | None = None
     # Neighbours that slow it in spells; None for none.
     neighbours: Neighbours | None = None
     running: int = 0
@@ -180,6 +184,8 @@
         self.messages = 0
         # Calls that came to a server that is not there any more.
         self.misdirected = 0
+        # Calls that servers did not run: time, sender, and server.
+        self.turned_away_at: list[tuple[float, str, str]] = []
         self.dead: set[str] = set()
         # Hosts that the platform leaves without answers.
         self.turned_away: set[str] = set()
@@ -243,15 +249,30 @@
         state = next(iter(self.states.values()))
         return state.services["films"].placement.homes[domain][0]
 
+    def restart(self, host: str, later: int = 1) -> HostState:
+        """Start a host anew, which knows nothing of before; return its state.
+
+        Its incarnation is `later` by so much, or earlier.
+        """
+        old = self.states[host]
+        self._timers = {key: at for key, at in self._timers.items() if key[0] != host}
+        incarnation = old.identity.incarnation + later
+        state = self._make_state(host, self.domains[host], incarnation, incarnation)
+        self.states[host] = state
+        self._inform(host)
+        return state
+
     def find_logs(self, event: str) -> list[dict[str, object]]:
         """Return the fields of all log lines of an event."""
         return [log.fields for _, log in self.logs if log.event == event]
 
-    def _make_state(self, name: str, domain: str, seed: int) -> HostState:
+    def _make_state(
+        self, name: str, domain: str, seed: int, incarnation: int = 1
+    ) -> HostState:
         return make_state(
             identity=HostIdentity(
                 name=name,
-                incarnation=1,
+                incarnation=incarnation,
                 failure_domain=domain,
                 region="r",
                 callers=f"{name}:1",
@@ -264,6 +285,12 @@
         )
 
     def _start(self) -> None:
+        for name in self.states:
+            self._inform(name)
+        self.run_for(3.0)
+
+    def _inform(self, name: str) -> None:
+        """Start a host, and let it hear all that the platform holds."""
         listed = tuple(
             ListedHost(
                 name=name,
@@ -279,13 +306,11 @@
         intents = RoutingIntents(
             revision=1, services=(self.service,), routes=(self.route,)
         )
-        for name in self.states:
-            self.handle(name, HostStarted(now=self.now))
-            self.handle(name, HostsListed(now=self.now, hosts=listed))
-            self.handle(name, PlatformReached(now=self.now))
-            self.handle(name, IntentsSeen(now=self.now, version="1", intents=intents))
-            self.list_servers(name, self.register(), 1)
-        self.run_for(3.0)
+        self.handle(name, HostStarted(now=self.now))
+        self.handle(name, HostsListed(now=self.now, hosts=listed))
+        self.handle(name, PlatformReached(now=self.now))
+        self.handle(name, IntentsSeen(now=self.now, version="1", intents=intents))
+        self.list_servers(name, self.register(), 1)
 
     def register(self) -> list[RegisteredServer]:
         """Return the entries of all servers."""
@@ -383,6 +408,8 @@
                 server=server,
                 latency_s=0.001,
                 report=self.servers[server].report(self.now),
+                draining=self.servers[server].says_leaving,
+                pause_s=self.servers[server].pause_s,
                 is_other_server=self.servers[server].is_replaced,
             )
             self.handle(host, event)
@@ -391,8 +418,9 @@
 
     def _send(self, host: str, effect: SendAttempt) -> None:
         server = self.servers[effect.target]
-        if server.is_replaced:
-            self.after(REJECT_S, lambda: self._misdirect(host, effect))
+        if server.is_replaced or server.pause_s is not None:
+            self.turned_away_at.append((self.now, host, server.name))
+            self.after(REJECT_S, lambda: self._turn_away(host, effect, server))
             return
         server.running += 1
         server.runs.append(effect.call_id)
@@ -408,6 +436,7 @@
                 call_id=effect.call_id,
                 attempt=effect.attempt,
                 status=server.status,
+                draining=server.says_leaving,
                 report=server.report(self.now),
             )
             self.handle(host, started)
@@ -426,16 +455,19 @@
 
         self.after(server.get_run_s(effect.call_id, self.now), finish)
 
-    def _misdirect(self, host: str, effect: SendAttempt) -> None:
-        """Answer as another server than the one meant."""
-        self.misdirected += 1
+    def _turn_away(
+        self, host: str, effect: SendAttempt, server: ScriptedServer
+    ) -> None:
+        """Answer without a run: as another server, or as one that wants a pause."""
+        self.misdirected += server.is_replaced
         started = ReplyStarted(
             now=self.now,
             call_id=effect.call_id,
             attempt=effect.attempt,
-            status=421,
-            is_other_server=True,
+            status=421 if server.is_replaced else 503,
+            is_other_server=server.is_replaced,
             verdict=Verdict.NOT_RUN,
+            pause_s=server.pause_s,
         )
         self.handle(host, started)
         if effect.call_id in self.states[host].calls:
--- /dev/null
+++ b/tests/test_server_words.py
@@ -0,0 +1,218 @@
+"""What servers say in their answers: that they leave, and that they want a pause."""
+
+from dataclasses import replace
+
+import pytest
+
+from siskinpier.core.cluster.leaving_marks import SETTLED_S
+from siskinpier.core.events import ServersChanged
+from siskinpier.core.messages import RegisteredServer
+from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+
+# Within a failure domain, and over all of them, seconds.
+DOMAIN_BOUND_S = 0.3
+BOUND_S = 1.0
+HOSTS = {"h1": "d1", "h2": "d1", "h3": "d1", "h4": "d2", "h5": "d2"}
+
+
+def make_world(servers: int = 2, **changes: object) -> SlotWorld:
+    """Return hosts of two failure domains, with as many servers in the first."""
+    made = [
+        ScriptedServer(name=f"s{n}", failure_domain="d1", slots=2)
+        for n in range(servers)
+    ]
+    return SlotWorld(hosts=HOSTS, servers=made, route=make_route(**changes))
+
+
+def ask_all(world: SlotWorld, name: str, calls: int = 4) -> None:
+    """Send calls to every host, one after the other."""
+    for n in range(calls):
+        for host in HOSTS:
+            world.call(host, f"{name}-{host}-{n}")
+            world.run_for(0.11)
+
+
+def make_leaving(world: SlotWorld) -> None:
+    """Let a server leave that tells nobody but in one host's answers."""
+    world.servers["s0"].says_leaving = True
+    world.run_for(BOUND_S)
+
+
+def list_entries(world: SlotWorld, host: str) -> list[RegisteredServer]:
+    """Return the registered servers that a host knows."""
+    return list(world.states[host].registry.servers.values())
+
+
+class TestLeaving:
+    """No host sends new work to a server that said that it leaves."""
+
+    def test_nothing_comes_after_the_word(self) -> None:
+        world = make_world()
+        ask_all(world, "a", 1)
+        make_leaving(world)
+        world.servers["s0"].runs.clear()
+        ask_all(world, "b")
+        assert world.servers["s0"].runs == []
+        assert all(answer.status == 200 for answer in world.answers.values())
+
+    @pytest.mark.parametrize("hearer", ["h1", "h2", "h3", "h4"])
+    def test_all_hosts_know_within_the_bound(self, hearer: str) -> None:
+        # Probes say nothing here: one answer to one call alone tells.
+        world = make_world(servers=1)
+        world.call(hearer, "c")
+        world.run_for(0.05)
+        world.servers["s0"].says_leaving = True
+        world.run_for(0.07)
+        assert world.answers["c"].status == 200
+        world.run_for(DOMAIN_BOUND_S)
+        known = [h for h in HOSTS if "s0" in world.states[h].registry.leaving]
+        assert known == list(HOSTS)
+
+    def test_host_that_was_cut_off_knows_its_own_answers(self) -> None:
+        world = make_world()
+        world.drop = lambda a, b, m: "h4" in (a, b)
+        world.servers["s0"].says_leaving = True
+        for n in range(20):
+            world.call("h4", f"c{n}")
+            world.run_for(0.2)
+        runs = [c for c in world.servers["s0"].runs if c in world.answers]
+        assert len(runs) <= 1
+
+    def test_restarted_home_is_told(self) -> None:
+        world = make_world()
+        make_leaving(world)
+        home = world.get_home("d1")
+        marks = world.states[home].registry.leaving
+        assert "s0" in marks
+        fresh = world.restart(home)
+        world.run_for(2.0)
+        assert "s0" in fresh.registry.leaving
+
+    def test_older_answer_does_not_call_it_off(self) -> None:
+        world = make_world()
+        make_leaving(world)
+        world.servers["s0"].says_leaving = False
+        world.servers["s0"].runs.clear()
+        ask_all(world, "a")
+        assert world.servers["s0"].runs == []
+
+    def test_waiting_calls_go_elsewhere_at_once(self) -> None:
+        world = make_world(servers=1)
+        home = world.get_home("d1")
+        for n in range(4):
+            world.call(home, f"c{n}")
+        world.servers["s0"].says_leaving = True
+        world.run_for(0.15)
+        late = [world.answers[f"c{n}"] for n in range(4)]
+        assert sorted(answer.status for answer in late) == [200, 200, 503, 503]
+
+    def test_next_life_is_used(self) -> None:
+        world = make_world()
+        make_leaving(world)
+        world.servers["s0"].says_leaving = False
+        for host in HOSTS:
+            entries = [replace(e, started=2) for e in list_entries(world, host)]
+            world.list_servers(host, entries, 5)
+        world.servers["s0"].runs.clear()
+        ask_all(world, "a")
+        assert world.servers["s0"].runs
+
+    @pytest.mark.parametrize(("after_s", "is_used"), [(0.2, False), (1.5, True)])
+    def test_entry_written_anew(self, after_s: float, is_used: bool) -> None:
+        assert 0.2 < SETTLED_S < 1.5
+        world = make_world()
+        world.servers["s0"].says_leaving = True
+        world.run_for(0.15)
+        world.run_for(after_s)
+        world.servers["s0"].says_leaving = False
+        for host in HOSTS:
+            entry = replace(world.states[host].registry.servers["s0"], slots=1)
+            event = ServersChanged(now=world.now, revision=5, servers=(entry,), gone=())
+            world.handle(host, event)
+        world.servers["s0"].runs.clear()
+        ask_all(world, "a")
+        assert bool(world.servers["s0"].runs) == is_used
+
+    def test_entry_that_lapsed_and_came_back(self) -> None:
+        world = make_world()
+        make_leaving(world)
+        for host in HOSTS:
+            entry = world.states[host].registry.servers["s0"]
+            gone = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+            world.handle(host, gone)
+            back = ServersChanged(now=world.now, revision=5, servers=(entry,), gone=())
+            world.handle(host, replace(back, revision=5))
+        world.servers["s0"].runs.clear()
+        ask_all(world, "a")
+        assert world.servers["s0"].runs == []
+
+
+class TestPauses:
+    """A server that asks a host for a pause gets nothing from it for so long."""
+
+    PAUSE_S = 3.0
+    # A host may send two more calls from this long after the answer on, seconds.
+    GRACE_S = 0.5
+
+    def test_no_host_sends_in_its_pause(self) -> None:
+        world = make_world(idempotent=False)
+        world.servers["s0"].pause_s = self.PAUSE_S
+        ask_all(world, "a", 8)
+        first: dict[str, float] = {}
+        for at, host, _ in world.turned_away_at:
+            started = first.setdefault(host, at)
+            if at > started + self.PAUSE_S:
+                first[host] = at
+                continue
+            assert at <= started + self.GRACE_S
+        assert {answer.status for answer in world.answers.values()} == {200}
+
+    def test_other_hosts_may_send(self) -> None:
+        world = make_world(servers=1)
+        home = world.get_home("d1")
+        other, third = [h for h in ("h1", "h2", "h3") if h != home]
+        world.servers["s0"].pause_s = 10.0
+        # The home's own probes would hear of it too.
+        world.drop = lambda a, b, m: False
+        world.call(other, "c1")
+        world.run_for(0.05)
+        world.servers["s0"].pause_s = None
+        world.call(third, "c2")
+        world.run_for(0.5)
+        assert world.answers["c2"].status == 200
+
+    def test_all_paused_is_refused_at_once(self) -> None:
+        world = make_world(aim_s=0.3)
+        for server in world.servers.values():
+            server.pause_s = 5.0
+        world.run_for(0.5)
+        home = world.get_home("d1")
+        world.call(home, "c1")
+        world.run_for(0.05)
+        world.call(home, "c2")
+        world.run_for(0.05)
+        answer = world.answers["c2"]
+        assert (answer.status, answer.after_s < 0.02) == (503, True)
+        assert answer.retry_after_s is not None
+        assert 3.0 < answer.retry_after_s <= 5.0
+
+    def test_short_pause_is_waited_for(self) -> None:
+        world = make_world(servers=1, aim_s=1.0)
+        home = world.get_home("d1")
+        world.servers["s0"].pause_s = 0.2
+        world.run_for(0.3)
+        world.servers["s0"].pause_s = None
+        world.call(home, "c")
+        world.run_for(1.0)
+        assert world.answers["c"].status == 200
+
+    def test_probes_keep_to_it(self) -> None:
+        world = make_world()
+        world.servers["s0"].pause_s = 2.0
+        world.run_for(1.0)
+        home = world.get_home("d1")
+        server = world.states[home].services["films"].servers["s0"]
+        probed_at = server.probed_at
+        world.run_for(1.0)
+        assert server.probed_at == probed_at
+        assert not server.is_silent
