Choose between a slow server and a wait by what slow spells do to runs

A slow spell holds for the whole run that begins in it, and leaves the others alone.

Change: slow_spells.py learns from runs and reports how long spells last, how often they begin, and which part of a slowdown a run suffers that began in one or before. A run that would not end in its time is never begun; the wait for a fast server counts slow servers that will be fast again. checks.py asks a server for its speed right before a call is sent where an old report may cost more than 4 ms.

Ruled out: a constant for the length of a spell (deployments differ); asking all servers more often (twice the probes for half of the loss).

Downloads of 30 MB leave a host's memory within 8 MB (test_platform_process, passed from the start).

--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -90,6 +90,7 @@
     SpareNotice,
 )
 from .routing.arrivals import cancel_call, expire_call, start_call
+from .routing.check_results import expire_check
 from .routing.dispatch import drain_queue, take_spare_notice
 from .routing.forwarding import send_due_spare
 from .routing.hedging import send_hedge
@@ -113,6 +114,7 @@
 from .state import HostState
 from .timers import (
     CallDeadline,
+    CheckDue,
     ClaimEndsDue,
     ClaimRetry,
     ClaimsDue,
@@ -237,6 +239,8 @@
                 drain_queue(state, service, now, out)
         case SlotDue(call_id=call_id):
             check_slot(state, call_id, now, out)
+        case CheckDue() as timer:
+            expire_check(state, timer, now, out)
         case RelayDue():
             step_relay(state, now, out)
         case LapseDue():
--- a/src/siskinpier/core/routing/attempts.py
+++ b/src/siskinpier/core/routing/attempts.py
@@ -20,6 +20,7 @@
 from .forwarding import note_forward
 from .health import record_failure, set_aside
 from .slot_requests import drop_asks
+from .speeds import get_slowdown
 from .waiting import FORWARD_MARGIN_S
 
 LATE_REPLIES: Final = 5.0
@@ -46,6 +47,7 @@
     end_waiting(active, out)
     server.in_flight += 1
     active.attempts[-1].was_full = server.in_flight >= server.intent.slots
+    active.attempts[-1].slowdown = get_slowdown(server, now)
     _log_route(active, server, reason, now, out)
     if active.holder:
         message = SlotGrant(
--- a/src/siskinpier/core/routing/balance.py
+++ b/src/siskinpier/core/routing/balance.py
@@ -43,8 +43,14 @@
     reported_at: float = 0.0
     # How many times longer than usual work took at the last report.
     slowdown: float = 1.0
-    # When it became slow, between the last two reports.
+    # When it last became slow and fast again, each between two reports, and how many
+    # times longer work took in between.
     slow_since: float = 0.0
+    fast_since: float = 0.0
+    spell_slowdown: float = 1.0
+    # Calls that hold a slot while the server is asked for its speed, with the reasons
+    # for which it was chosen.
+    checks: dict[str, str] = field(default_factory=dict)
     # Left this host's probes unanswered.
     is_silent: bool = False
     # Times until which it wants nothing from a host, by its name; empty for this one.
--- a/src/siskinpier/core/routing/calls.py
+++ b/src/siskinpier/core/routing/calls.py
@@ -49,6 +49,7 @@
     CLAIMING = auto()
     ASKING = auto()
     QUEUED = auto()
+    CHECKING = auto()
     SENT = auto()
     RELAYING = auto()
 
@@ -105,6 +106,8 @@
     is_misdirected: bool = False
     # Took the last slot of its server.
     was_full: bool = False
+    # How many times longer than usual work took on its server when it was sent.
+    slowdown: float = 1.0
     grant: Grant | None = None
     # The time that the answer took, once it is whole.
     latency_s: float | None = None
@@ -152,6 +155,8 @@
     holder: str = ""
     holder_address: str = ""
     holders_id: str = ""
+    # Servers that were asked for their speed for this call.
+    checks: int = 0
     # Whether the holder sent the call to a server before.
     is_repeat: bool = False
     # Servers that the holder has tried.
--- a/src/siskinpier/core/routing/candidates.py
+++ b/src/siskinpier/core/routing/candidates.py
@@ -100,16 +100,18 @@
     active: ActiveCall,
     now: float,
 ) -> float:
-    """Return the time until an answer from the next free slot of a fast server."""
-    slots = sum(
-        get_slot_limit(server, now)
-        for server in servers
-        if not is_slow(server, now) and not is_draining(server)
-    )
-    if slots == 0:
-        return LONGEST_WAIT_S
+    """Return the time until an answer from the next free slot of a fast server.
+
+    A fast server may end a call first, or a slow one with room be fast again.
+    """
+    usable = [s for s in servers if not is_draining(s)]
+    slots = sum(get_slot_limit(s, now) for s in usable if not is_slow(s, now))
     ahead = service.queue.count_ahead(active.urgency, active.call.deadline) + 1
-    return ahead * service.usual_s / slots + service.usual_s
+    wait_s = ahead * service.usual_s / slots if slots else LONGEST_WAIT_S
+    slow = sum(is_slow(s, now) and not s.is_silent and has_room(s, now) for s in usable)
+    if slow:
+        wait_s = min(wait_s, service.spells.get_wait_s(slow))
+    return wait_s + service.usual_s
 
 
 def _is_wait_better(
@@ -119,6 +121,13 @@
     slow: ServerRuntime,
     now: float,
 ) -> bool:
-    """Return True if a fast server's next free slot is likely to be sooner."""
-    fast_s = _estimate_fast_s(service, servers, active, now)
-    return fast_s < estimate_run_s(service, slow, now)
+    """Return True if a fast server's next free slot is likely to be sooner.
+
+    A run that would not end in its time is never worth it, and one of which nobody
+    knows how long it takes may not. A silent server may be well all the same.
+    """
+    run_s = estimate_run_s(service, slow, now)
+    is_hopeless = service.usual_s == 0.0 or now + run_s > active.call.deadline
+    if is_hopeless and not slow.is_silent:
+        return True
+    return _estimate_fast_s(service, servers, active, now) < run_s
--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -24,9 +24,9 @@
     choose_owned,
     estimate_answer_s,
 )
+from .checks import Choice, send_or_check
 from .crossing import is_crossing_worth, may_cross
 from .forwarding import choose_peer, list_forwardable, report_spare, take_spare
-from .hedging import plan_hedge
 from .pauses import get_pause_end
 from .quarantine import judge_quarantine
 from .refusals import forget, refuse
@@ -54,8 +54,8 @@
         drain_queue(state, service, now, out)
         return
     if server is not None:
-        send(active, server, now, "own-server", out)
-        plan_hedge(service, active, now, out)
+        choice = Choice(server=server, reason="own-server")
+        send_or_check(state, service, active, choice, now, out)
         report_spare(state, service, now, out)
         return
     if active.call.hops == 0 and state.settings.grants_slots:
@@ -103,8 +103,8 @@
         service.queue.remove(active)
         if _refuse_quarantined(state, active, now, out):
             continue
-        send(active, server, now, "queued", out)
-        plan_hedge(service, active, now, out)
+        choice = Choice(server=server, reason="queued")
+        send_or_check(state, service, active, choice, now, out)
     report_spare(state, service, now, out)
 
 
--- a/src/siskinpier/core/routing/probing.py
+++ b/src/siskinpier/core/routing/probing.py
@@ -2,12 +2,14 @@
 
 from typing import Final
 
-from ..effects import Effect, LogDecision, SendProbe, SetTimer
+from ..effects import Effect, LogDecision, SetTimer
 from ..events import ProbeAnswered
 from ..state import HostState, ServiceRuntime
 from ..timers import ProbesDue
 from .attempts import note_other_server
 from .balance import ServerRuntime, is_draining, is_ejected, is_paused
+from .check_results import settle_checks
+from .checks import make_probe
 from .full_servers import refresh_full_limits
 from .health import record_probe
 from .limits import refresh_limits
@@ -17,7 +19,6 @@
 from .speeds import has_fallen_silent
 
 PROBE_INTERVAL_S: Final = 0.2
-PROBE_TIMEOUT_S: Final = 1.0
 FRESH_S: Final = 1.0
 # Servers that report their speed are asked again when the report is this old.
 REPORT_AGE_S: Final = 0.1
@@ -55,6 +56,7 @@
         take_pause(state, service, server, event.pause_s, event.now, out)
     if event.report is not None:
         take_speed(state, service, server, event.report, event.now, out)
+    settle_checks(state, service, server, event.now, out)
     is_healthy = event.latency_s is not None
     if is_healthy or event.draining:
         # A probe without an answer does not tell that a drain was called off.
@@ -83,7 +85,7 @@
         if age_s < REPORT_AGE_S:
             continue
         server.probed_at = now
-        out.append(_make_probe(service, server))
+        out.append(make_probe(service, server))
 
 
 def _probe_service(
@@ -101,7 +103,7 @@
         if not bucket.take(now):
             return
         server.probed_at = now
-        out.append(_make_probe(service, server))
+        out.append(make_probe(service, server))
         out.append(
             LogDecision(
                 event="probe",
@@ -124,13 +126,3 @@
     is_uncalled = is_ejected(server, now) or is_draining(server)
     weight = UNCALLED_WEIGHT if is_uncalled else 1.0
     return weight * _get_age_s(server, now)
-
-
-def _make_probe(service: ServiceRuntime, server: ServerRuntime) -> SendProbe:
-    return SendProbe(
-        service=service.intent.name,
-        server=server.intent.name,
-        address=server.intent.address,
-        path=service.intent.probes.path,
-        timeout_s=PROBE_TIMEOUT_S,
-    )
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -23,6 +23,7 @@
 from .retrying import note_verdict, try_again
 from .server_words import note_leaving_word, take_pause
 from .speed_changes import take_speed
+from .speeds import learn_spells
 
 SERVER_ERROR_STATUSES: Final = range(500, 600)
 
@@ -111,6 +112,7 @@
             learn_service_time(service, latency_s)
             learn_hedge_time(service, latency_s)
             learn_run(service, latency_s, was_full=attempt.was_full)
+            learn_spells(service, server, attempt, latency_s, event.now)
     drain_queue(state, service, event.now, out)
 
 
--- /dev/null
+++ b/src/siskinpier/core/routing/slot_notices.py
@@ -0,0 +1,28 @@
+"""What a home tells the holder of a call that waits for a slot."""
+
+from ..effects import Effect, SendMessage
+from ..messages import SlotQueued
+from ..state import HostState, ServiceRuntime
+from .calls import ActiveCall, Stage
+from .candidates import estimate_answer_s
+
+
+def tell_queued(
+    state: HostState,
+    service: ServiceRuntime,
+    active: ActiveCall,
+    now: float,
+    out: list[Effect],
+) -> None:
+    """Tell the holder of a call that it waits here, and for how long; if it does."""
+    if active.stage is not Stage.QUEUED or active.call.call_id not in state.calls:
+        return
+    message = SlotQueued(
+        call=active.holders_id,
+        ask=active.ask,
+        expected_s=round(estimate_answer_s(service, active, now), 4),
+        usual_s=round(service.usual_s, 4),
+    )
+    out.append(
+        SendMessage(host=active.holder, address=active.holder_address, message=message)
+    )
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from ..cluster.members import Member
-from ..effects import Effect, LogDecision, SendMessage, SetTimer
+from ..effects import Effect, LogDecision, SetTimer
 from ..messages import (
     SlotEnd,
     SlotGrant,
@@ -36,7 +36,8 @@
     is_paused,
 )
 from .calls import ActiveCall, Attempt, Call, Grant, Stage
-from .candidates import PATIENCE_S, choose_fast, estimate_answer_s
+from .candidates import PATIENCE_S, choose_fast
+from .checks import Choice, send_or_check
 from .crossing import is_crossing_worth
 from .dispatch import drain_queue, place_call
 from .full_servers import learn_run
@@ -44,9 +45,10 @@
 from .hedging import learn_hedge_time
 from .refusals import forget, refuse
 from .server_words import take_pause
+from .slot_notices import tell_queued
 from .slot_requests import DOUBT_S, ask_slot, ask_spare, drop_asks, withdraw
 from .speed_changes import take_speed
-from .speeds import is_slow
+from .speeds import is_slow, learn_spells
 
 # How often the holder of a queued call looks whether its home lives, seconds.
 QUEUED_CHECK_S: Final = 0.5
@@ -80,14 +82,7 @@
         _grant_spare(state, service, active, now, out)
         return
     place_call(state, service, active, now, out)
-    if active.stage is Stage.QUEUED and call_id in state.calls:
-        message = SlotQueued(
-            call=request.call,
-            ask=request.ask,
-            expected_s=round(estimate_answer_s(service, active, now), 4),
-            usual_s=round(service.usual_s, 4),
-        )
-        out.append(SendMessage(host=holder.name, address=holder.peers, message=message))
+    tell_queued(state, service, active, now, out)
 
 
 def _grant_spare(
@@ -105,7 +100,8 @@
         if free >= SPARE_KEPT:
             server = choose_fast(fast, active, now)
     if server is not None:
-        send(active, server, now, "spare", out)
+        choice = Choice(server=server, reason="spare")
+        send_or_check(state, service, active, choice, now, out)
         return
     forget(state, active, out)
     refuse(active, make_no_server(active.call.service, active.worst), out)
@@ -378,6 +374,7 @@
             learn_service_time(service, message.latency_s)
             learn_hedge_time(service, message.latency_s)
             learn_run(service, message.latency_s, was_full=attempt.was_full)
+            learn_spells(service, server, attempt, message.latency_s, now)
         case SlotUse.FAILED:
             note_failure(service, attempt, now, out)
         case SlotUse.MISDIRECTED:
--- a/src/siskinpier/core/routing/speed_changes.py
+++ b/src/siskinpier/core/routing/speed_changes.py
@@ -43,8 +43,7 @@
     last_s = min(LONGEST_GAP_S, now - server.reported_at)
     take_load(server, report, now)
     now_slow = is_slow(server, now)
-    if now_slow and not was_slow:
-        server.slow_since = now - last_s / 2.0
+    _note_change(service, server, last_s, now, was_slow=was_slow, now_slow=now_slow)
     if server not in service.owned:
         return
     if now_slow:
@@ -53,6 +52,31 @@
         drain_queue(state, service, now, out)
 
 
+def _note_change(
+    service: ServiceRuntime,
+    server: ServerRuntime,
+    last_s: float,
+    now: float,
+    *,
+    was_slow: bool,
+    now_slow: bool,
+) -> None:
+    """Note when a server changed its speed: halfway between two reports.
+
+    `last_s` is the time between them.
+    """
+    changed_at = now - last_s / 2.0
+    if not was_slow:
+        service.spells.note_fast(last_s, has_ended=now_slow)
+    if now_slow:
+        server.spell_slowdown = server.slowdown
+    if now_slow and not was_slow:
+        server.slow_since = changed_at
+    if was_slow and not now_slow:
+        server.fast_since = changed_at
+        service.spells.note_spell(changed_at - server.slow_since, server.spell_slowdown)
+
+
 def _log_silence(
     service: ServiceRuntime,
     server: ServerRuntime,
--- a/src/siskinpier/core/routing/speeds.py
+++ b/src/siskinpier/core/routing/speeds.py
@@ -8,6 +8,7 @@
 
 from ..state import ServiceRuntime
 from .balance import ServerRuntime
+from .calls import Attempt
 
 # A report says nothing any more of the speed after this long, seconds.
 SPEED_KNOWN_S: Final = 0.5
@@ -17,10 +18,13 @@
 SILENT_SLOWDOWN: Final = 20.0
 # A server that takes this many times longer than usual counts as slow.
 SLOW_FROM: Final = 2.0
-# How long a server that is slow now stays so, on average, seconds.
-SLOW_LASTS_S: Final = 0.35
 # A run of this many times the usual one is still an ordinary one.
 USUAL_SPREAD: Final = 1.2
+# A run that began this long before its server was seen to be slow began before the
+# spell, seconds.
+DOUBT_S: Final = 0.1
+# Part of the usual run that a spell must add for a run to tell whether it did.
+TOLD_APART: Final = 0.5
 # Step of the median of run times, as a share of it.
 MEDIAN_STEP: Final = 0.05
 
@@ -51,26 +55,56 @@
     slowdown = get_slowdown(server, now)
     if slowdown < SLOW_FROM or server.is_silent:
         return service.usual_s * slowdown
-    # The server is likely to become fast again before work ends.
-    return min(service.usual_s * slowdown, SLOW_LASTS_S + service.usual_s)
+    return service.spells.get_begun_s(service.usual_s, slowdown)
 
 
 def estimate_rest_s(
     service: ServiceRuntime, server: ServerRuntime, started: float, now: float
 ) -> float:
-    """Return how much longer a call that runs there is likely to take.
+    """Return how much longer a call that runs there is likely to take, in seconds.
 
-    Since the server became slow, the call got ahead slowly.
+    One that began in the server's slow spell may be slow to its end; one that began
+    before may get ahead slowly for as long as the spell lasts, or not be touched.
     """
     slowdown = get_slowdown(server, now)
     if server.is_silent:
         return service.usual_s * slowdown
+    spells = service.spells
+    run_s = USUAL_SPREAD * service.usual_s
+    plain_s = max(0.0, started + run_s - now)
+    if slowdown < SLOW_FROM:
+        return plain_s
     slow_from = max(started, server.slow_since)
     done_s = (slow_from - started) + (now - slow_from) / slowdown
-    work_s = max(0.0, USUAL_SPREAD * service.usual_s - done_s)
-    if slowdown < SLOW_FROM:
-        return work_s
-    return min(work_s * slowdown, SLOW_LASTS_S + work_s)
+    left_s = max(0.0, run_s - done_s)
+    slowed_s = min(left_s * slowdown, spells.length_s + left_s)
+    if started < server.slow_since:
+        return plain_s + spells.midway_part * max(0.0, slowed_s - plain_s)
+    begun_s = max(0.0, started + spells.get_begun_s(run_s, slowdown) - now)
+    return max(begun_s, spells.midway_part * slowed_s)
+
+
+def learn_spells(
+    service: ServiceRuntime,
+    server: ServerRuntime,
+    attempt: Attempt,
+    run_s: float,
+    now: float,
+) -> None:
+    """Take in a run that ended, for what slow spells do to runs."""
+    usual_s = service.usual_s
+    if usual_s == 0.0:
+        return
+    if attempt.slowdown >= SLOW_FROM:
+        service.spells.note_begun(run_s, usual_s, attempt.slowdown)
+        return
+    if server.slow_since < attempt.started + DOUBT_S:
+        return  # No spell came after it began, or nobody knows which was first.
+    ended = server.fast_since if server.fast_since > server.slow_since else now
+    spell_s = min(now, ended) - server.slow_since
+    most_s = spell_s * (1.0 - 1.0 / server.spell_slowdown)
+    if most_s >= TOLD_APART * usual_s:
+        service.spells.note_midway(run_s - usual_s, most_s)
 
 
 def follow_median(median_s: float, latency_s: float) -> float:
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -18,6 +18,7 @@
 from .routing.budgets import RateMeter, TokenBucket
 from .routing.calls import ActiveCall
 from .routing.routes import RouteTable
+from .routing.slow_spells import SlowSpells
 from .routing.suspects import QuarantineState
 from .routing.waiting import CallQueue
 
@@ -97,6 +98,7 @@
     usual_runs: int = 0
     full_s: float = 0.0
     full_runs: int = 0
+    spells: SlowSpells = field(default_factory=SlowSpells)
     probe_bytes: float = 0.0
     ranked_names: tuple[str, ...] = ()
     ranked_hosts: list[str] = field(default_factory=list)
--- a/src/siskinpier/core/timers.py
+++ b/src/siskinpier/core/timers.py
@@ -93,6 +93,15 @@
     holder: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CheckDue:
+    """The time by which a server must have told its speed for a call."""
+
+    service: str
+    server: str
+    call_id: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RelayDue:
     """Time to tell that the watches work, or to notice that no relay does."""
@@ -118,6 +127,7 @@
     | SlotDue
     | PatienceDue
     | PauseDue
+    | CheckDue
     | RelayDue
     | LapseDue
 )
--- a/tests/standins/platform_host.py
+++ b/tests/standins/platform_host.py
@@ -21,6 +21,9 @@
 
 WITHIN_S: Final = 10.0
 HELD_S: Final = 30.0  # longer than any call of these tests may take
+# An answer of 30 MB, in pieces.
+PIECE: Final = bytes(65_536)
+PIECES: Final = 460
 CONFIG: Final = {
     "version": "00000007",
     "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "idleTimeoutS": 15},
@@ -42,6 +45,12 @@
                     "match": {"pathPrefix": "/pay/"},
                     "action": {"service": "films", "timeoutS": 1.0, "attempts": 2},
                 },
+                {
+                    "name": "export",
+                    "kind": "download",
+                    "match": {"pathPrefix": "/export/"},
+                    "action": {"service": "films", "timeoutS": 30.0, "attempts": 2},
+                },
             ],
         }
     ],
@@ -98,8 +107,19 @@
         if self.behave == "hold":
             await asyncio.sleep(HELD_S)
         signature = (b"x-response-signature", b"sig")
+        if scope["path"].startswith("/export/"):
+            await self._stream(send, [*extra, signature])
+            return
         await self._reply(send, 200, [*extra, signature], b"found it")
 
+    async def _stream(self, send: Send, extra: list[tuple[bytes, bytes]]) -> None:
+        length = str(len(PIECE) * PIECES).encode()
+        headers = [*extra, (b"content-length", length)]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        for _ in range(PIECES):
+            await send({"type": "http.response.body", "body": PIECE, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+
     async def _reply(
         self, send: Send, status: int, extra: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
@@ -195,6 +215,12 @@
         url = f"http://127.0.0.1:{self.front}{path}"
         return httpx.request(method, url, headers=fields, trust_env=False, timeout=9)
 
+    def get_peak_bytes(self) -> int:
+        """Return the most memory that the process ever had resident."""
+        status = Path(f"/proc/{self.child.pid}/status").read_text()
+        (line,) = [row for row in status.split("\n") if row.startswith("VmHWM")]
+        return int(line.split()[1]) * 1_024
+
     def read_log(self) -> str:
         """Return what the host wrote."""
         self.log.flush()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -21,6 +21,8 @@
 from tests.standins.metadata_store import MetadataStore
 from tests.standins.platform_host import (
     CONFIG,
+    PIECE,
+    PIECES,
     WITHIN_S,
     Backend,
     Deployment,
@@ -96,6 +98,40 @@
             assert sock.recv(100).startswith(b"HTTP/1.1 400")
 
 
+class TestDownloads:
+    """Large answers are passed on as they come, and never held."""
+
+    # What a host may take for an answer of 30 MB, and for readers that stand still.
+    BOUND_BYTES = 8 * 1_048_576
+    READERS = 6
+
+    def test_memory_stays_flat(self, deployment: Deployment) -> None:
+        deployment.host.ask("/search/1")
+        before = deployment.host.get_peak_bytes()
+        reply = deployment.host.ask("/export/1", X_Deadline_Ms="30000")
+        assert len(reply.content) == len(PIECE) * PIECES
+        assert deployment.host.get_peak_bytes() - before < self.BOUND_BYTES
+
+    def test_readers_that_stand_still_hold_only_their_own(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.host.ask("/search/1")
+        before = deployment.host.get_peak_bytes()
+        readers = []
+        for n in range(self.READERS):
+            sock = socket.create_connection(("127.0.0.1", deployment.host.front))
+            sock.sendall(
+                b"GET /export/%d HTTP/1.1\r\nHost: films.example\r\n"
+                b"X-Request-Id: slow%d\r\nX-Deadline-Ms: 30000\r\n\r\n" % (n, n)
+            )
+            assert sock.recv(100).startswith(b"HTTP/1.1 200")
+            readers.append(sock)
+        assert deployment.host.ask("/search/2").status_code == 200
+        assert deployment.host.get_peak_bytes() - before < self.BOUND_BYTES
+        for sock in readers:
+            sock.close()
+
+
 class TestStart:
     """Callers that are there before a host is ready."""
 
--- /dev/null
+++ b/tests/test_slow_servers.py
@@ -0,0 +1,130 @@
+"""Few servers, each 7 times slower for a quarter of the time, and long work.
+
+A run is as slow to its end as its server was when it began, so that a call which is
+sent to a slow server is lost. The play counts what callers get.
+"""
+
+from dataclasses import dataclass
+from functools import cache
+from random import Random
+
+import pytest
+
+from siskinpier.core.configuration.intents import ServiceIntent
+from siskinpier.core.routing.slow_spells import SlowSpells
+from tests.standins.slot_world import (
+    Neighbours,
+    ScriptedServer,
+    SlotWorld,
+    make_route,
+)
+
+DOMAINS = 5
+HOSTS = {f"h{n}": f"d{n % DOMAINS}" for n in range(20)}
+SLOTS = 4
+WORK_S = 1.0
+AIM_S = 2.5
+TIMEOUT_S = 5.0
+LENGTH_S = 120.0
+# Shares of calls that may fail: the small deployment's quiet day, and the large one's.
+FAILED_SMALL = 0.005
+FAILED_LARGE = 0.001
+BUSIEST = 1.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """Shares of calls that were answered in aim, answered late, and not answered."""
+
+    in_aim: float
+    late: float
+    failed: float
+    # Calls of the busiest server over the mean.
+    busiest: float
+
+
+@cache
+def play(servers: int, rate: float, *, idempotent: bool) -> Outcome:
+    """Play calls at a rate a second on so many servers a failure domain."""
+    made = [
+        ScriptedServer(
+            name=f"s{n}",
+            failure_domain=f"d{n % DOMAINS}",
+            slots=SLOTS,
+            work_s=WORK_S,
+            neighbours=Neighbours(seed=n + 1, strikes_at_start=True),
+        )
+        for n in range(servers * DOMAINS)
+    ]
+    route = make_route(
+        idempotent=idempotent, aim_s=AIM_S, timeout_s=TIMEOUT_S, attempts=2
+    )
+    service = ServiceIntent(name="films", retry_share=0.08, hedge_share=0.06)
+    world = SlotWorld(hosts=HOSTS, servers=made, route=route, service=service)
+    rng = Random(1)
+    at, calls = 0.0, []
+    while at < LENGTH_S:
+        at += rng.expovariate(rate)
+        host, call_id = rng.choice(list(HOSTS)), f"c{len(calls)}"
+        world.after(at, lambda h=host, c=call_id: world.call(h, c, 10.0))  # type: ignore[misc]
+        calls.append(call_id)
+    world.run_for(LENGTH_S + 12.0)
+    answers = [world.answers[c] for c in calls]
+    good = [a for a in answers if a.status == 200]
+    in_aim = sum(a.after_s <= AIM_S for a in good)
+    runs = [len(server.runs) for server in made]
+    return Outcome(
+        in_aim=in_aim / len(calls),
+        late=(len(good) - in_aim) / len(calls),
+        failed=1.0 - len(good) / len(calls),
+        busiest=max(runs) * len(runs) / sum(runs),
+    )
+
+
+class TestSmall:
+    """One to three servers a failure domain."""
+
+    @pytest.mark.parametrize("servers", [1, 2, 3])
+    @pytest.mark.parametrize("idempotent", [False, True])
+    def test_calls_that_fail(self, servers: int, idempotent: bool) -> None:
+        outcome = play(servers, 2.0 * servers, idempotent=idempotent)
+        assert outcome.failed <= FAILED_SMALL
+        assert outcome.in_aim >= 0.95
+
+
+class TestLarge:
+    """Eight servers a failure domain."""
+
+    @pytest.mark.parametrize("idempotent", [False, True])
+    def test_calls_that_fail(self, idempotent: bool) -> None:
+        outcome = play(8, 20.0, idempotent=idempotent)
+        assert outcome.failed <= FAILED_LARGE
+        assert outcome.in_aim >= 0.99
+
+    def test_busiest_server(self) -> None:
+        assert play(8, 20.0, idempotent=False).busiest <= BUSIEST
+
+
+class TestLearning:
+    """What spells do to runs is learnt, not assumed."""
+
+    def test_runs_that_spells_do_not_touch(self) -> None:
+        spells = SlowSpells()
+        for _ in range(40):
+            spells.note_midway(0.0, 0.5)
+        assert spells.midway_part < 0.05
+
+    def test_runs_that_outlive_the_spell(self) -> None:
+        spells = SlowSpells()
+        for _ in range(40):
+            spells.note_begun(run_s=1.3, usual_s=1.0, slowdown=7.0)
+        assert spells.get_begun_s(1.0, 7.0) == pytest.approx(1.3, abs=0.15)
+
+    def test_length_and_onset(self) -> None:
+        spells = SlowSpells()
+        for _ in range(100):
+            spells.note_fast(1.5, has_ended=True)
+            spells.note_spell(0.5, 7.0)
+        assert spells.length_s == pytest.approx(0.5, abs=0.02)
+        assert spells.slowdown == pytest.approx(7.0)
+        assert spells.get_onset_chance(0.1) == pytest.approx(0.1 / 1.5, abs=0.01)
