Let two hosts speak for each failure domain to the others

Change: the two strongest hosts of a domain hear those of the others every two seconds and pass on news of their own domain's hosts at once; the others send a heartbeat across every eight seconds only. Silence is believed from the member's own domain too. A delegate that hears nobody of a domain for 5 s takes its hosts for silent; any later word of them counts again. Digests across domains cover the sender's domain, and records settle only that. A host that started, or heard a silent one again, settles differences within a second or two in place of seven. Watches of the store wait 25 s in place of 8, as sockets notice dead peers.

Ruled out: heartbeats across in fewer steps without delegates (16 s until a dead host is known); one delegate (its death would hide the domain).

--- a/src/siskinpier/core/cluster/dissemination.py
+++ b/src/siskinpier/core/cluster/dissemination.py
@@ -12,12 +12,18 @@
 from ..effects import Effect, LogDecision, SendMessage
 from ..messages import Heartbeat, MemberRecord, MembersNotice
 from ..state import HostState
+from .delegates import (
+    is_delegate,
+    lose_silent_domains,
+    tell_far,
+)
 from .members import (
     FAR_HEARTBEATS,
     SILENCE_LIMIT_HEARTBEATS,
     Member,
     is_believed_alive,
     judge_silence,
+    lose_sight,
     make_record,
     merge_record,
 )
@@ -25,6 +31,11 @@
 
 SYNC_AFTER_S: Final = 2.0
 SYNC_INTERVAL_S: Final = 5.0
+# The same for a host that started, or heard a silent one again, less than so long ago,
+# seconds.
+FRESH_S: Final = 6.0
+FRESH_SYNC_AFTER_S: Final = 0.5
+FRESH_SYNC_INTERVAL_S: Final = 1.0
 # A host whose heartbeats were this late was paused, and judges nobody by it.
 PAUSED_HEARTBEATS: Final = 2
 
@@ -63,7 +74,10 @@
     for member in silent:
         fields: dict[str, object] = {"host": member.name}
         out.append(LogDecision(event="silent", fields=fields))
+    if state.settings.grants_slots:
+        silent += lose_silent_domains(state, now, out)
     _spread(state, silent, "", out)
+    tell_far(state, silent, now, out)
     return bool(silent)
 
 
@@ -83,13 +97,14 @@
 ) -> bool:
     """Take in records; pass on what was news; return True if anything was."""
     own = state.identity
-    same_domain = notice.failure_domain == own.failure_domain
+    is_near = notice.failure_domain == own.failure_domain
     news: list[Member] = []
     objections: list[Member] = []
     for record in notice.records:
         if record.host == own.name:
             _refute(state, record, out)
             continue
+        same_domain = is_near or record.failure_domain == notice.failure_domain
         if record.is_silent and same_domain and _hears(state, record, now):
             objections.append(state.members[record.host])
             continue
@@ -97,6 +112,7 @@
             news.append(state.members[record.host])
     _spread(state, objections, "", out)
     _spread(state, news, sender, out)
+    tell_far(state, [*objections, *news] if is_near else [], now, out)
     if notice.wants_reply:
         _reply(state, notice, sender, out)
     return bool(news)
@@ -106,15 +122,24 @@
     state: HostState, member: Member, beat: Heartbeat, now: float, out: list[Effect]
 ) -> None:
     """Settle differences with a host that has known other members for a while."""
-    if beat.digest == make_digest(state, now):
+    is_near = member.failure_domain == state.identity.failure_domain
+    is_far = not is_near and state.settings.grants_slots
+    domain = member.failure_domain if is_far else None
+    if beat.digest == make_digest(state, now, domain):
         member.agreed_at = now
         return
-    if now - member.agreed_at <= SYNC_AFTER_S:
+    if is_far and not is_delegate(state, now):
+        return
+    # Much of the news was spread while a fresh host, or one back in touch, was in
+    # nobody's ring.
+    is_fresh = now - max(state.started, state.rejoined) <= FRESH_S
+    if now - member.agreed_at <= (FRESH_SYNC_AFTER_S if is_fresh else SYNC_AFTER_S):
         return
-    if now - state.last_synced <= SYNC_INTERVAL_S:
+    interval_s = FRESH_SYNC_INTERVAL_S if is_fresh else SYNC_INTERVAL_S
+    if now - state.last_synced <= interval_s:
         return
     state.last_synced = now
-    records = tuple(make_record(m) for m in _list_spoken_of(state))
+    records = tuple(make_record(m) for m in _list_spoken_of(state, domain))
     message = MembersNotice(
         failure_domain=state.identity.failure_domain,
         records=records,
@@ -123,21 +148,29 @@
     out.append(SendMessage(host=member.name, address=member.peers, message=message))
 
 
-def make_digest(state: HostState, now: float) -> int:
-    """Return a digest of the hosts believed alive, this one included."""
+def make_digest(state: HostState, now: float, domain: str | None = None) -> int:
+    """Return a digest of the hosts believed alive, this one included.
+
+    With a `domain`, only of the hosts of that failure domain.
+    """
     own = state.identity
-    digest = get_weight(own.name, str(own.incarnation))
+    digest = 0
+    if domain in (None, own.failure_domain):
+        digest = get_weight(own.name, str(own.incarnation))
     for member in state.members.values():
+        if domain is not None and member.failure_domain != domain:
+            continue
         if member.last_heard is not None and is_believed_alive(member, now):
             digest ^= member.weight
     return digest
 
 
 def spread_member(
-    state: HostState, member: Member, sender: str, out: list[Effect]
+    state: HostState, member: Member, sender: str, now: float, out: list[Effect]
 ) -> None:
-    """Pass on news of one member inside the failure domain."""
+    """Pass on news of one member inside the failure domain, and to the others."""
     _spread(state, [member], sender, out)
+    tell_far(state, [member], now, out)
 
 
 def _spread(
@@ -161,7 +194,7 @@
     lost = [m for m in state.members.values() if m.silent_since is None]
     lost = [member for member in lost if member.last_heard is not None]
     for member in lost:
-        member.silent_since = now
+        lose_sight(member, now)
     if lost:
         fields: dict[str, object] = {"members": len(lost)}
         out.append(LogDecision(event="cut-off", fields=fields))
@@ -199,11 +232,13 @@
     peer = state.members.get(sender)
     if peer is None:
         return
-    told = {r.host: (r.incarnation, r.sequence) for r in notice.records}
+    told = {r.host: r for r in notice.records}
+    own = state.identity.failure_domain
+    is_far = notice.failure_domain != own and state.settings.grants_slots
     better = [
         member
-        for member in _list_spoken_of(state)
-        if (member.incarnation, member.sequence) > told.get(member.name, (-1, -1))
+        for member in _list_spoken_of(state, own if is_far else None)
+        if _knows_better(member, told.get(member.name))
     ]
     if better:
         message = MembersNotice(
@@ -213,5 +248,21 @@
         out.append(SendMessage(host=sender, address=peer.peers, message=message))
 
 
-def _list_spoken_of(state: HostState) -> list[Member]:
-    return [m for m in state.members.values() if m.last_heard is not None]
+def _knows_better(member: Member, record: MemberRecord | None) -> bool:
+    """Return True if a member is known here as later, or to be silent by now."""
+    if record is None:
+        return True
+    known = (member.incarnation, member.sequence)
+    told = (record.incarnation, record.sequence)
+    if known != told:
+        return known > told
+    return member.silent_since is not None and not record.is_silent
+
+
+def _list_spoken_of(state: HostState, domain: str | None) -> list[Member]:
+    """Return the members that were heard of; with a `domain`, those of it."""
+    return [
+        member
+        for member in state.members.values()
+        if member.last_heard is not None and domain in (None, member.failure_domain)
+    ]
--- a/src/siskinpier/core/cluster/heartbeats.py
+++ b/src/siskinpier/core/cluster/heartbeats.py
@@ -1,5 +1,6 @@
 """Acting as one of many hosts: heartbeats, views, and placement from them."""
 
+from dataclasses import replace
 from typing import Final
 
 from ..configuration.intents import ServiceIntent
@@ -22,6 +23,7 @@
 from ..routing.forwarding import count_spare
 from ..state import HostState, Lifecycle, ServiceRuntime
 from ..timers import HeartbeatDue
+from .delegates import is_delegate, list_counterparts, note_heard
 from .dissemination import (
     compare_digest,
     judge_members,
@@ -31,6 +33,7 @@
     take_members,
 )
 from .members import (
+    DELEGATE_HEARTBEATS,
     FAR_HEARTBEATS,
     Member,
     forget_silent,
@@ -114,24 +117,34 @@
     """Return the monitors, the other homes of own services, and hosts out of touch."""
     own = state.identity
     if state.settings.grants_slots:
-        names = _list_thrifty_listeners(state)
+        names = _list_thrifty_listeners(state, now)
     else:
         names = state.rings.get_all_monitors(own.name)
         for service in state.services.values():
             if service.owned:
                 names += service.placement.get_all_homes()
-    unheard = [
-        member.name
-        for member in state.members.values()
-        if member.last_heard is None and now - member.first_listed <= GREET_S
-    ]
+    greeted = [m for m in state.members.values() if _may_greet(state, m, now)]
+    unheard = [m.name for m in greeted if m.last_heard is None]
     names += rank_nodes(own.name, unheard)[:GREETED_LIMIT]
-    silent = [m.name for m in state.members.values() if m.silent_since is not None]
+    silent = [m.name for m in greeted if m.silent_since is not None]
     names += state.rng.sample(silent, min(SILENT_TRIED, len(silent)))
     return names
 
 
-def _list_thrifty_listeners(state: HostState) -> list[str]:
+def _may_greet(state: HostState, member: Member, now: float) -> bool:
+    """Return True for a host that is out of touch, and may be told of this one.
+
+    Those of other failure domains hear of it from the hosts that speak for it.
+    """
+    if member.last_heard is None and now - member.first_listed > GREET_S:
+        return False
+    if not state.settings.grants_slots:
+        return True
+    is_near = member.failure_domain == state.identity.failure_domain
+    return is_near or is_delegate(state, now)
+
+
+def _list_thrifty_listeners(state: HostState, now: float) -> list[str]:
     """Return the monitors here, and at times one in each other failure domain.
 
     Bytes between failure domains cost most, and homes that grant slots need not tell
@@ -139,6 +152,8 @@
     """
     own = state.identity
     names = state.rings.get_monitors(own.name, own.failure_domain)
+    if state.heartbeat_sequence % DELEGATE_HEARTBEATS == 0:
+        names += list_counterparts(state, now)
     if state.heartbeat_sequence % FAR_HEARTBEATS == 0:
         for domain in state.rings.points:
             if domain != own.failure_domain:
@@ -150,11 +165,17 @@
     state: HostState, names: list[str], now: float, out: list[Effect]
 ) -> None:
     state.heartbeat_sequence += 1
+    own = state.identity
     message = make_heartbeat(state, now)
+    far = message
+    if state.settings.grants_slots:
+        # Another failure domain hears of this one alone.
+        far = replace(message, digest=make_digest(state, now, own.failure_domain))
     for name in dict.fromkeys(names):
         member = state.members.get(name)
-        if member is not None and name != state.identity.name:
-            _send_to(member, message, out)
+        if member is not None and name != own.name:
+            is_near = member.failure_domain == own.failure_domain
+            _send_to(member, message if is_near else far, out)
 
 
 def _greet_seeds(state: HostState, now: float, out: list[Effect]) -> None:
@@ -225,6 +246,9 @@
         return
     state.last_heard = event.now
     member = state.members[beat.host]
+    note_heard(state, member, event.now)
+    if before is not None and before[2]:
+        state.rejoined = event.now
     if beat.revision > state.intents.revision and _may_ask(state, member):
         _ask_intents(state, member, beat.revision, event.now, out)
     for name in beat.up_to_date:
@@ -236,7 +260,7 @@
     if is_news or not was_alive:
         refresh_placement(state, event.now, out)
     if is_news:
-        spread_member(state, member, "", out)
+        spread_member(state, member, "", event.now, out)
     if before is None or before[2]:
         _send_heartbeats(state, [member.name], event.now, out)
     compare_digest(state, member, beat, event.now, out)
--- a/src/siskinpier/core/cluster/members.py
+++ b/src/siskinpier/core/cluster/members.py
@@ -13,8 +13,12 @@
 
 SILENCE_LIMIT_HEARTBEATS: Final = 4
 LISTED_GRACE_S: Final = 3.0
-# Heartbeats of which one goes to other failure domains, where bytes there are dear.
-FAR_HEARTBEATS: Final = 2
+# Heartbeats of which one goes to other failure domains, where bytes there are dear:
+# from the hosts that speak for their domain, and from all others.
+DELEGATE_HEARTBEATS: Final = 4
+FAR_HEARTBEATS: Final = 16
+# Stands below the number of every heartbeat, so that each is news.
+ANY_SEQUENCE: Final = -1
 VOUCHED_S: Final = 10.0
 FRESH_WORD_S: Final = 1.0
 
@@ -30,7 +34,7 @@
     peers: str
     strength: float = 1.0
     incarnation: int = 0
-    sequence: int = -1
+    sequence: int = ANY_SEQUENCE
     revision: int = 0
     leaving: bool = False
     listed_leaving: bool = False
@@ -110,7 +114,8 @@
 ) -> bool:
     """Take in what another host knows; return True if that changes the view.
 
-    Silence is a word about one failure domain's hosts and counts in no other.
+    Silence is a word about one failure domain's hosts; with `same_domain` False it
+    comes from another one than theirs and this host's, and does not count.
     """
     if record.is_silent and not same_domain:
         return False
@@ -126,6 +131,8 @@
         member = _make_member_of_record(record, member)
         members[record.host] = member
     was = (member.silent_since is not None, member.leaving)
+    if record.is_silent and record.sequence == ANY_SEQUENCE:
+        member.sequence = ANY_SEQUENCE
     member.sequence = max(member.sequence, record.sequence)
     member.revision = max(member.revision, record.revision)
     member.leaving = member.leaving or record.leaving
@@ -181,6 +188,15 @@
     return member.silent_since is None
 
 
+def lose_sight(member: Member, now: float) -> None:
+    """Take a member for silent that may be well behind a cut.
+
+    Any word of it counts again, also one from before.
+    """
+    member.silent_since = now
+    member.sequence = ANY_SEQUENCE
+
+
 def judge_silence(member: Member, now: float, heartbeat_s: float) -> bool:
     """Return True if a monitored member has just become silent."""
     if member.monitored_since is None or member.last_heard is None:
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -98,6 +98,8 @@
     usual_runs: int = 0
     full_s: float = 0.0
     full_runs: int = 0
+    # Medians of the run times of calls, by route, seconds.
+    run_times: dict[str, float] = field(default_factory=dict)
     spells: SlowSpells = field(default_factory=SlowSpells)
     probe_bytes: float = 0.0
     ranked_names: tuple[str, ...] = ()
@@ -198,6 +200,10 @@
     live: tuple[str, ...] = ()
     rings: Rings = field(default_factory=lambda: make_rings(()))
     last_beat: float = 0.0
+    # When a host that was silent was last heard again.
+    rejoined: float = 0.0
+    # When a host of each other failure domain was last heard here.
+    heard_domains: dict[str, float] = field(default_factory=dict)
     last_heard: float = 0.0
     last_synced: float = 0.0
     asked_revision: int = 0
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -29,7 +29,9 @@
 SERVERS_KIND: Final = "servers"
 # Kind of our own: the entry hosts.
 HOSTS_KIND: Final = "siskinpier-hosts"
-WATCH_S: Final = 8.0
+# How long a watch waits for a change; the store allows 30. A connection that falls
+# silent meanwhile is noticed by the operating system (edge/streams.py).
+WATCH_S: Final = 25.0
 # Changes that come within this time are taken together.
 GATHER_S: Final = 0.4
 # How often a host that watches asks whether the store still answers it, and for how
