Learn how long calls run by route; wait no longer than spells last

A payment runs 1 s.

Change: run times are learnt by route, which requests for a slot name; an unseen route is taken to run a third of its aim.

--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -195,6 +195,7 @@
     is_repeat: bool = False
     may_cross: bool = False
     spare_only: bool = False
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/routing/arrivals.py
+++ b/src/siskinpier/core/routing/arrivals.py
@@ -78,6 +78,7 @@
         load = state.routes.get_load(route)
         load.count(event.now)
         active.route = route
+        active.route_name = route.name
         active.size = call.size + load.reply_bytes
     if needs_claim(active) and call.hops > 0:
         # Only the entry host may claim: two hosts would claim under one call id.
--- a/src/siskinpier/core/routing/calls.py
+++ b/src/siskinpier/core/routing/calls.py
@@ -139,6 +139,8 @@
     attempts_limit: int = DEFAULT_ATTEMPTS_LIMIT
     aim_s: float = 0.0
     route: Route | None = None
+    # Name of the call's route, here and at the home of a call that another host holds.
+    route_name: str = ""
     asked: str = ""
     asked_at: float = 0.0
     ask: int = 0
--- a/src/siskinpier/core/routing/candidates.py
+++ b/src/siskinpier/core/routing/candidates.py
@@ -22,12 +22,15 @@
     is_draining,
 )
 from .calls import ActiveCall
+from .run_times import get_usual_s
 from .speeds import estimate_run_s, is_slow
 
 COMPARED_SERVERS: Final = 32
 # How long a call waits for word of a free slot elsewhere before it settles for a
 # slow server, seconds.
 PATIENCE_S: Final = 0.025
+# Runs on slow servers that must be known before a call is refused for want of others.
+RUNS_NEEDED: Final = 3
 # Stands for a wait whose end nobody can tell.
 LONGEST_WAIT_S: Final = 60.0
 
@@ -90,7 +93,8 @@
     """Return the time until a waiting call is likely to be answered, in seconds."""
     fast_s = _estimate_fast_s(service, service.owned, active, now)
     slow = [s for s in service.owned if is_slow(s, now) and has_room(s, now)]
-    slow_s = min((estimate_run_s(service, s, now) for s in slow), default=inf)
+    usual_s = get_usual_s(service, active)
+    slow_s = min((estimate_run_s(service, s, usual_s, now) for s in slow), default=inf)
     return min(fast_s, slow_s)
 
 
@@ -104,14 +108,16 @@
 
     A fast server may end a call first, or a slow one with room be fast again.
     """
+    usual_s = get_usual_s(service, active)
     usable = [s for s in servers if not is_draining(s)]
     slots = sum(get_slot_limit(s, now) for s in usable if not is_slow(s, now))
     ahead = service.queue.count_ahead(active.urgency, active.call.deadline) + 1
-    wait_s = ahead * service.usual_s / slots if slots else LONGEST_WAIT_S
-    slow = sum(is_slow(s, now) and not s.is_silent and has_room(s, now) for s in usable)
-    if slow:
-        wait_s = min(wait_s, service.spells.get_wait_s(slow))
-    return wait_s + service.usual_s
+    wait_s = ahead * usual_s / slots if slots else LONGEST_WAIT_S
+    slow = [s for s in usable if is_slow(s, now) and not s.is_silent]
+    ages_s = [now - s.slow_since for s in slow if has_room(s, now)]
+    if ages_s:
+        wait_s = min(wait_s, service.spells.get_wait_s(ages_s))
+    return wait_s + usual_s
 
 
 def _is_wait_better(
@@ -123,11 +129,12 @@
 ) -> bool:
     """Return True if a fast server's next free slot is likely to be sooner.
 
-    A run that would not end in its time is never worth it, and one of which nobody
-    knows how long it takes may not. A silent server may be well all the same.
+    A run that may not be repeated and would surely not end in its time is never worth
+    it. A silent server may be well all the same.
     """
-    run_s = estimate_run_s(service, slow, now)
-    is_hopeless = service.usual_s == 0.0 or now + run_s > active.call.deadline
-    if is_hopeless and not slow.is_silent:
+    usual_s = get_usual_s(service, active)
+    run_s = estimate_run_s(service, slow, usual_s, now)
+    is_sure = service.spells.begun_runs >= RUNS_NEEDED and not slow.is_silent
+    if is_sure and not active.idempotent and now + run_s > active.call.deadline:
         return True
     return _estimate_fast_s(service, servers, active, now) < run_s
--- a/src/siskinpier/core/routing/checks.py
+++ b/src/siskinpier/core/routing/checks.py
@@ -15,6 +15,7 @@
 from .balance import ServerRuntime
 from .calls import ActiveCall, Stage
 from .hedging import plan_hedge
+from .run_times import get_usual_s
 from .speeds import is_slow
 
 # What asking costs: the time that a call waits, and the work of a probe, seconds.
@@ -43,8 +44,9 @@
     out: list[Effect],
 ) -> None:
     """Send a call to the server that was chosen, or ask the server first."""
+    usual_s = get_usual_s(service, active)
     is_worth = state.settings.grants_slots and is_check_worth(
-        service, choice.server, now
+        service, choice.server, usual_s, now
     )
     if not is_worth or active.checks >= CHECKS_LIMIT:
         send_planned(service, active, choice, now, out)
@@ -64,14 +66,19 @@
     plan_hedge(service, active, now, out)
 
 
-def is_check_worth(service: ServiceRuntime, server: ServerRuntime, now: float) -> bool:
-    """Return True if an older report may cost a call more than asking again."""
+def is_check_worth(
+    service: ServiceRuntime, server: ServerRuntime, usual_s: float, now: float
+) -> bool:
+    """Return True if an older report may cost a call more than asking again.
+
+    `usual_s` is how long its run takes on a server that is not slow.
+    """
     if server.report is None or is_slow(server, now):
         return False
     spells = service.spells
-    slow_s = spells.get_begun_s(service.usual_s, spells.slowdown)
+    slow_s = spells.get_begun_s(usual_s, spells.slowdown)
     chance = spells.get_onset_chance(now - server.reported_at)
-    return chance * (slow_s - service.usual_s) > CHECK_COST_S
+    return chance * (slow_s - usual_s) > CHECK_COST_S
 
 
 def make_probe(service: ServiceRuntime, server: ServerRuntime) -> SendProbe:
--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -30,6 +30,7 @@
 from .pauses import get_pause_end
 from .quarantine import judge_quarantine
 from .refusals import forget, refuse
+from .run_times import get_usual_s
 from .slot_requests import ask_slot, ask_spare
 
 OVERTAKEN_LIMIT: Final = 8
@@ -190,7 +191,11 @@
     while (call_id := service.queue.peek()) is not None:
         active = state.calls[call_id]
         entry = active.queue_entry
-        if entry is None or entry[1] or not active.is_late(service.usual_s, now):
+        if (
+            entry is None
+            or entry[1]
+            or not active.is_late(get_usual_s(service, active), now)
+        ):
             return
         service.queue.remove(active)
         if is_hopeless(service, active, now):
@@ -259,7 +264,8 @@
     _wait(service, active, now, out)
     if active.slow_from > now and not active.holder:
         expected_s = estimate_answer_s(service, active, now)
-        if is_crossing_worth(active, expected_s, service.usual_s, now):
+        usual_s = get_usual_s(service, active)
+        if is_crossing_worth(active, expected_s, usual_s, now):
             ask_spare(state, service, active, now, out)
 
 
@@ -294,9 +300,10 @@
     service: ServiceRuntime, active: ActiveCall, pause_end: float
 ) -> bool:
     """Return True if a call that waits for the end of a pause misses its aim."""
+    usual_s = get_usual_s(service, active)
     if active.aim_s == 0.0:
-        return pause_end + service.usual_s > active.call.deadline
-    return active.is_late(service.usual_s, pause_end)
+        return pause_end + usual_s > active.call.deadline
+    return active.is_late(usual_s, pause_end)
 
 
 def _ask_or_refuse(
@@ -321,7 +328,9 @@
     active.stage = Stage.QUEUED
     if len(service.queue) == 0:
         service.queued_since = now
-    service.queue.push(active, is_late=active.is_late(service.usual_s, now))
+    service.queue.push(
+        active, is_late=active.is_late(get_usual_s(service, active), now)
+    )
     if active.aim_s > 0.0:
         # Refused once half its time is over and its aim missed; see `send`.
         active.has_waiting_bound = True
--- a/src/siskinpier/core/routing/full_servers.py
+++ b/src/siskinpier/core/routing/full_servers.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from ..state import ServiceRuntime
-from .speeds import follow_median
+from .run_times import follow_median
 
 # Runs of each kind that must be known before a limit is drawn from them.
 RUNS_NEEDED: Final = 20
--- a/src/siskinpier/core/routing/hedging.py
+++ b/src/siskinpier/core/routing/hedging.py
@@ -16,6 +16,7 @@
 from .calls import ActiveCall, Attempt, Stage
 from .health import record_slow
 from .quarantine import is_quarantined
+from .run_times import get_usual_s
 from .speeds import estimate_rest_s, is_slow
 
 QUANTILE_STEP: Final = 0.1
@@ -45,7 +46,7 @@
     server = service.servers.get(attempt.target) if attempt is not None else None
     if server is not None and server.report is not None:
         # Its reports tell of slow spells; this is for an answer that was lost.
-        after_s = max(after_s, LOST_AFTER * service.usual_s)
+        after_s = max(after_s, LOST_AFTER * get_usual_s(service, active))
     out.append(SetTimer(timer=timer, at=now + after_s))
 
 
@@ -93,12 +94,13 @@
             continue
         if not _may_hedge(active) or is_quarantined(state, active.call, now):
             continue
-        rest_s = estimate_rest_s(service, slowed, attempt.started, now)
-        aim = active.arrived + (active.aim_s or service.usual_s)
+        usual_s = get_usual_s(service, active)
+        rest_s = estimate_rest_s(service, slowed, usual_s, attempt.started, now)
+        aim = active.arrived + (active.aim_s or usual_s)
         if now + rest_s <= aim:
             continue
-        is_kept_elsewhere = now + service.usual_s <= aim
-        if not is_kept_elsewhere and rest_s < LARGE_GAIN * service.usual_s:
+        is_kept_elsewhere = now + usual_s <= aim
+        if not is_kept_elsewhere and rest_s < LARGE_GAIN * usual_s:
             continue
         fast = [s for s in service.owned if not is_slow(s, now)]
         server = choose_server(fast, now, active.get_tried(), holder=active.holder)
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -21,6 +21,7 @@
 from .hedging import drop_rival, fall_back_to_rival, learn_hedge_time
 from .refusals import forget, refuse
 from .retrying import note_verdict, try_again
+from .run_times import learn_run_time
 from .server_words import note_leaving_word, take_pause
 from .speed_changes import take_speed
 from .speeds import learn_spells
@@ -112,7 +113,8 @@
             learn_service_time(service, latency_s)
             learn_hedge_time(service, latency_s)
             learn_run(service, latency_s, was_full=attempt.was_full)
-            learn_spells(service, server, attempt, latency_s, event.now)
+            learn_spells(service, server, active, attempt, latency_s, event.now)
+            learn_run_time(service, active.route_name, latency_s)
     drain_queue(state, service, event.now, out)
 
 
--- a/src/siskinpier/core/routing/slot_notices.py
+++ b/src/siskinpier/core/routing/slot_notices.py
@@ -5,6 +5,7 @@
 from ..state import HostState, ServiceRuntime
 from .calls import ActiveCall, Stage
 from .candidates import estimate_answer_s
+from .run_times import get_usual_s
 
 
 def tell_queued(
@@ -21,7 +22,7 @@
         call=active.holders_id,
         ask=active.ask,
         expected_s=round(estimate_answer_s(service, active, now), 4),
-        usual_s=round(service.usual_s, 4),
+        usual_s=round(get_usual_s(service, active), 4),
     )
     out.append(
         SendMessage(host=active.holder, address=active.holder_address, message=message)
--- a/src/siskinpier/core/routing/slot_requests.py
+++ b/src/siskinpier/core/routing/slot_requests.py
@@ -131,6 +131,7 @@
         is_repeat=active.has_been_sent(),
         may_cross=not is_spare and may_cross(active),
         spare_only=is_spare,
+        route=active.route_name,
     )
     out.append(SendMessage(host=home.name, address=home.peers, message=message))
 
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -44,6 +44,7 @@
 from .health import record_success
 from .hedging import learn_hedge_time
 from .refusals import forget, refuse
+from .run_times import learn_run_time
 from .server_words import take_pause
 from .slot_notices import tell_queued
 from .slot_requests import DOUBT_S, ask_slot, ask_spare, drop_asks, withdraw
@@ -126,7 +127,7 @@
     ended = active.get_running(message.number)
     if ended is None:
         return
-    _learn(state, service, ended, message, now, out)
+    _learn(state, service, active, ended, message, now, out)
     service.ends.count(now)
     release(service, ended, out)
     if not active.end_attempt(ended):
@@ -338,6 +339,7 @@
         holders_id=request.call,
         avoided=frozenset(request.tried),
         is_repeat=request.is_repeat,
+        route_name=request.route,
         slow_from=now + PATIENCE_S if request.may_cross else 0.0,
     )
 
@@ -354,6 +356,7 @@
 def _learn(
     state: HostState,
     service: ServiceRuntime,
+    active: ActiveCall,
     attempt: Attempt,
     message: SlotEnd,
     now: float,
@@ -374,7 +377,8 @@
             learn_service_time(service, message.latency_s)
             learn_hedge_time(service, message.latency_s)
             learn_run(service, message.latency_s, was_full=attempt.was_full)
-            learn_spells(service, server, attempt, message.latency_s, now)
+            learn_spells(service, server, active, attempt, message.latency_s, now)
+            learn_run_time(service, active.route_name, message.latency_s)
         case SlotUse.FAILED:
             note_failure(service, attempt, now, out)
         case SlotUse.MISDIRECTED:
--- a/src/siskinpier/core/routing/slow_spells.py
+++ b/src/siskinpier/core/routing/slow_spells.py
@@ -5,12 +5,15 @@
 of the two a home reckons with.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from math import exp
 from typing import Final
 
 # Weight of the newest spell, or run, in what is learnt.
 WEIGHT: Final = 0.1
+# A spell that lasts for so many times the usual length is no usual one.
+LONG_SPELL: Final = 2.0
 # Length of a spell before one was seen, seconds.
 FIRST_LENGTH_S: Final = 0.35
 # Time that counts as seen without a spell before anything was, and time after which
@@ -32,6 +35,7 @@
     # How many times longer work takes in a spell.
     slowdown: float = 1.0
     begun_part: float = 1.0
+    begun_runs: int = 0
     midway_part: float = 1.0
     # Spells that began, and the time in which servers were fast, seconds.
     onsets: float = 0.0
@@ -56,6 +60,7 @@
         """Take in a run that began while its server was slow."""
         part = _get_part(run_s - usual_s, usual_s * (slowdown - 1.0))
         self.begun_part += WEIGHT * (part - self.begun_part)
+        self.begun_runs += 1
 
     def note_midway(self, extra_s: float, most_s: float) -> None:
         """Take in how much longer a run took that was slowed after it began."""
@@ -70,9 +75,16 @@
         """Return how long a run takes that begins on a slow server, in seconds."""
         return usual_s * (1.0 + self.begun_part * (slowdown - 1.0))
 
-    def get_wait_s(self, slow_servers: int) -> float:
-        """Return the time until the first of some slow servers is fast again."""
-        return self.length_s / (slow_servers + 1)
+    def get_wait_s(self, ages_s: Sequence[float]) -> float:
+        """Return the time until the first of some slow servers is fast again.
+
+        `ages_s` tells for how long each is slow. A spell that lasts much longer than
+        others did is likely to last as long again.
+        """
+        usual = sum(age_s < LONG_SPELL * self.length_s for age_s in ages_s)
+        if usual:
+            return self.length_s / (usual + 1)
+        return min(ages_s)
 
 
 def _get_part(extra_s: float, most_s: float) -> float:
--- a/src/siskinpier/core/routing/speeds.py
+++ b/src/siskinpier/core/routing/speeds.py
@@ -8,7 +8,7 @@
 
 from ..state import ServiceRuntime
 from .balance import ServerRuntime
-from .calls import Attempt
+from .calls import ActiveCall, Attempt
 
 # A report says nothing any more of the speed after this long, seconds.
 SPEED_KNOWN_S: Final = 0.5
@@ -25,8 +25,6 @@
 DOUBT_S: Final = 0.1
 # Part of the usual run that a spell must add for a run to tell whether it did.
 TOLD_APART: Final = 0.5
-# Step of the median of run times, as a share of it.
-MEDIAN_STEP: Final = 0.05
 
 
 def get_slowdown(server: ServerRuntime, now: float) -> float:
@@ -50,16 +48,25 @@
     return get_slowdown(server, now) >= SLOW_FROM
 
 
-def estimate_run_s(service: ServiceRuntime, server: ServerRuntime, now: float) -> float:
-    """Return how long a call that is sent now is likely to take, in seconds."""
+def estimate_run_s(
+    service: ServiceRuntime, server: ServerRuntime, usual_s: float, now: float
+) -> float:
+    """Return how long a run that begins now is likely to take, in seconds.
+
+    `usual_s` is how long it takes on a server that is not slow.
+    """
     slowdown = get_slowdown(server, now)
     if slowdown < SLOW_FROM or server.is_silent:
-        return service.usual_s * slowdown
-    return service.spells.get_begun_s(service.usual_s, slowdown)
+        return usual_s * slowdown
+    return service.spells.get_begun_s(usual_s, slowdown)
 
 
 def estimate_rest_s(
-    service: ServiceRuntime, server: ServerRuntime, started: float, now: float
+    service: ServiceRuntime,
+    server: ServerRuntime,
+    usual_s: float,
+    started: float,
+    now: float,
 ) -> float:
     """Return how much longer a call that runs there is likely to take, in seconds.
 
@@ -68,9 +75,9 @@
     """
     slowdown = get_slowdown(server, now)
     if server.is_silent:
-        return service.usual_s * slowdown
+        return usual_s * slowdown
     spells = service.spells
-    run_s = USUAL_SPREAD * service.usual_s
+    run_s = USUAL_SPREAD * usual_s
     plain_s = max(0.0, started + run_s - now)
     if slowdown < SLOW_FROM:
         return plain_s
@@ -87,12 +94,13 @@
 def learn_spells(
     service: ServiceRuntime,
     server: ServerRuntime,
+    active: ActiveCall,
     attempt: Attempt,
     run_s: float,
     now: float,
 ) -> None:
     """Take in a run that ended, for what slow spells do to runs."""
-    usual_s = service.usual_s
+    usual_s = service.run_times.get(active.route_name, service.usual_s)
     if usual_s == 0.0:
         return
     if attempt.slowdown >= SLOW_FROM:
@@ -105,11 +113,3 @@
     most_s = spell_s * (1.0 - 1.0 / server.spell_slowdown)
     if most_s >= TOLD_APART * usual_s:
         service.spells.note_midway(run_s - usual_s, most_s)
-
-
-def follow_median(median_s: float, latency_s: float) -> float:
-    """Return a median of run times after another one; slow spells hardly move it."""
-    if median_s == 0.0:
-        return latency_s
-    step_s = MEDIAN_STEP * median_s
-    return median_s + (step_s if latency_s > median_s else -step_s)
