--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -31,8 +31,8 @@
 CONNECT_BOUND_S: Final = 0.25
 KEEP_ALIVE_S: Final = 15.0
 FIELD_LIMIT_BYTES: Final = 16_384
-# What is read of a reply before its caller takes some of it: twice this, and one read of
-# the socket more.
+# What is read of a reply before its caller takes some of it: twice this, and one read
+# of the socket more.
 READ_BUFFER_BYTES: Final = 16_384
 READ_BYTES: Final = 65_536
 
