Send nothing that may not be repeated to servers that gave no word

And a call whose server gave no word to a check within 20 ms was sent there all the same, for the 0.35 s until a server counts as silent.

Change: a silent server comes after all slow ones, and gets no call that may not be repeated while another may answer; a call whose check was not answered goes to another server where there is one.

Ruled out: refusing such calls at once (the sound servers serve them).

--- a/src/siskinpier/core/routing/candidates.py
+++ b/src/siskinpier/core/routing/candidates.py
@@ -20,6 +20,7 @@
     get_slot_limit,
     has_room,
     is_draining,
+    is_ejected,
 )
 from .calls import ActiveCall
 from .run_times import get_usual_s
@@ -63,7 +64,9 @@
     if now < active.slow_from:
         return None
     slow = [s for s in servers if is_slow(s, now)]
-    server = _choose(slow, active, now)
+    server = _choose([s for s in slow if not s.is_silent], active, now)
+    if server is None:
+        server = _choose([s for s in slow if s.is_silent], active, now)
     if server is None or _is_wait_better(service, servers, active, server, now):
         return None
     return server
@@ -120,6 +123,14 @@
     return wait_s + usual_s
 
 
+def _has_sound(servers: Sequence[ServerRuntime], now: float) -> bool:
+    """Return True if a server answers that takes calls, if only later."""
+    return any(
+        not s.is_silent and not is_draining(s) and not is_ejected(s, now)
+        for s in servers
+    )
+
+
 def _is_wait_better(
     service: ServiceRuntime,
     servers: Sequence[ServerRuntime],
@@ -130,8 +141,10 @@
     """Return True if a fast server's next free slot is likely to be sooner.
 
     A run that may not be repeated and would surely not end in its time is never worth
-    it. A silent server may be well all the same.
+    it; nor is one on a silent server while another may answer.
     """
+    if slow.is_silent and not active.idempotent and _has_sound(servers, now):
+        return True
     usual_s = get_usual_s(service, active)
     run_s = estimate_run_s(service, slow, usual_s, now)
     is_sure = service.spells.begun_runs >= RUNS_NEEDED and not slow.is_silent
--- a/src/siskinpier/core/routing/check_results.py
+++ b/src/siskinpier/core/routing/check_results.py
@@ -3,7 +3,13 @@
 from ..effects import ClearTimer, Effect
 from ..state import HostState, ServiceRuntime
 from ..timers import CheckDue
-from .balance import ServerRuntime, has_room
+from .balance import (
+    ServerRuntime,
+    has_room,
+    is_draining,
+    is_ejected,
+    is_paused,
+)
 from .calls import ActiveCall, Stage
 from .checks import Choice, end_check, send_planned
 from .dispatch import place_call
@@ -26,15 +32,36 @@
 def expire_check(
     state: HostState, timer: CheckDue, now: float, out: list[Effect]
 ) -> None:
-    """Go on with a call whose server gave no word in time."""
+    """Place a call elsewhere whose server gave no word in time, if there is one."""
     service = state.services.get(timer.service)
     server = service.servers.get(timer.server) if service is not None else None
-    if service is not None and server is not None:
+    active = _get_checking(state, timer.call_id)
+    if service is None or active is None:
+        return
+    if server is not None and not _has_other(service, server, active, now):
         _settle(state, service, server, timer.call_id, now, out)
         return
-    active = _get_checking(state, timer.call_id)
-    if active is not None and service is not None:
-        _place_again(state, service, active, now, out)
+    if server is not None:
+        end_check(server, timer.call_id)
+        # It may be gone; the next probe tells.
+        active.avoided |= {timer.server}
+    _place_again(state, service, active, now, out)
+
+
+def _has_other(
+    service: ServiceRuntime, server: ServerRuntime, active: ActiveCall, now: float
+) -> bool:
+    """Return True if another server is likely to take the call."""
+    tried = active.get_tried()
+    return any(
+        other is not server
+        and other.intent.name not in tried
+        and not other.is_silent
+        and not is_draining(other)
+        and not is_ejected(other, now)
+        and not is_paused(other, now, active.holder)
+        for other in service.owned
+    )
 
 
 def _settle(
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -156,6 +156,71 @@
         assert {answer.status for answer in world.answers.values()} == {200}
 
 
+class TestSilent:
+    """A server that leaves all questions unanswered."""
+
+    def play(self, *, idempotent: bool) -> SlotWorld:
+        """Play calls on two servers of which one falls silent, and one is slow."""
+        made = [
+            ScriptedServer(
+                name=f"s{n}", failure_domain="d0", slots=2, work_s=0.05, slowdown=4.0
+            )
+            for n in range(2)
+        ]
+        route = make_route(idempotent=idempotent, aim_s=0.5, timeout_s=2.0)
+        world = SlotWorld(hosts={"h0": "d0", "h1": "d0"}, servers=made, route=route)
+        made[0].is_silent = True
+        world.run_for(0.5)
+        for n in range(30):
+            world.call("h1", f"c{n}", 2.0)
+            world.run_for(0.11)
+        world.run_for(3.0)
+        return world
+
+    def test_no_call_is_lost_that_may_not_be_repeated(self) -> None:
+        world = self.play(idempotent=False)
+        assert world.servers["s0"].runs == []
+        statuses = [answer.status for answer in world.answers.values()]
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= 20
+
+    def test_server_that_just_went_dark(self) -> None:
+        made = [
+            ScriptedServer(
+                name=f"s{n}",
+                failure_domain="d0",
+                work_s=0.5,
+                neighbours=Neighbours(seed=n + 1, strikes_at_start=True),
+            )
+            for n in range(3)
+        ]
+        route = make_route(idempotent=False, aim_s=1.5, timeout_s=5.0)
+        world = SlotWorld(hosts={"h0": "d0", "h1": "d0"}, servers=made, route=route)
+        for n in range(100):
+            world.call("h1", f"c{n}", 5.0)
+            world.run_for(0.25)
+        made[0].is_silent = True
+        made[0].runs.clear()
+        for n in range(100, 110):
+            # All come before its silence is noticed.
+            world.call("h1", f"c{n}", 5.0)
+            world.run_for(0.03)
+        world.run_for(8.0)
+        assert made[0].runs == []
+        statuses = [world.answers[f"c{n}"].status for n in range(100, 110)]
+        assert statuses == [200] * 10
+
+    def test_only_server(self) -> None:
+        made = [ScriptedServer(name="s0", failure_domain="d0")]
+        route = make_route(idempotent=False)
+        world = SlotWorld(hosts={"h0": "d0"}, servers=made, route=route)
+        made[0].is_silent = True
+        world.run_for(0.5)
+        world.call("h0", "c")
+        world.run_for(2.0)
+        assert world.servers["s0"].runs == ["c"]
+
+
 class TestLearning:
     """What spells do to runs is learnt, not assumed."""
 
