Keep what a host reads of a configuration within what its peers take from it

Cause: a peer checks a notice of routing intents against the ranges of its fields and drops it whole. A rule's name of 200 characters, a weight or a number of connections beyond its range, or a long virtual host passed the adapter, so that only hosts that watch would have had that version.

Change: names are cut to 100 characters, connections bounded; a weight or virtual host beyond its range counts as unreadable.

Conclusion: what one host reads, all take.

--- a/src/siskinpier/platform/configuration.py
+++ b/src/siskinpier/platform/configuration.py
@@ -39,6 +39,10 @@
 ALL_PATHS: Final = "/"
 HEALTH_PATH: Final = "/health"
 SERVER_CONNECTIONS: Final = 250
+# More than that are never open to one server.
+CONNECTIONS_LIMIT: Final = 100_000
+# Characters of a route's name.
+NAME_LIMIT: Final = 100
 ONE_ATTEMPT: Final = 1
 
 NOT_REPEATABLE: Final = "not repeatable"
@@ -51,7 +55,7 @@
 VersionText = Annotated[str, Meta(pattern=r"^[0-9a-fA-F]{8}$")]
 Text = Annotated[str, Meta(min_length=1)]
 Path = Annotated[str, Meta(pattern=r"^/")]
-Weight = Annotated[float, Meta(ge=0.0)]
+Weight = Annotated[float, Meta(ge=0.0, le=1_000_000.0)]
 Rank = Annotated[int, Meta(ge=0)]
 AttemptCount = Annotated[int, Meta(ge=1, le=100)]
 ConnectionCount = Annotated[int, Meta(ge=1)]
@@ -152,8 +156,9 @@
     path = row.read("healthPath", Path, HEALTH_PATH)
     return ServiceIntent(
         name=name,
-        server_connections=row.read(
-            "maxConnections", ConnectionCount, SERVER_CONNECTIONS
+        server_connections=min(
+            CONNECTIONS_LIMIT,
+            row.read("maxConnections", ConnectionCount, SERVER_CONNECTIONS),
         ),
         retry_share=settings.retry_share * RETRY_PART,
         hedge_share=settings.retry_share * HEDGE_PART,
@@ -187,7 +192,7 @@
     """Return the routes of one virtual host, named in callers' Host field."""
     if isinstance(row, Absent):
         return [_make_suspended(ANY_VIRTUAL_HOST)]
-    host = row.require("host", Text, effect=UNKNOWN_HOSTS_SUSPENDED)
+    host = row.require("host", Name, effect=UNKNOWN_HOSTS_SUSPENDED)
     if isinstance(host, Absent):
         return [_make_suspended(ANY_VIRTUAL_HOST)]
     virtual_host = host.lower()
@@ -218,7 +223,7 @@
         return _make_suspended(virtual_host, prefix)
     name = rule.read("name", Text, prefix)
     return Route(
-        name=f"{virtual_host}/{name}",
+        name=f"{virtual_host}/{name}"[:NAME_LIMIT],
         virtual_host=virtual_host,
         path_prefix=prefix,
         services=services,
@@ -266,7 +271,7 @@
 
 def _make_suspended(virtual_host: str, prefix: str = ALL_PATHS) -> Route:
     return Route(
-        name=f"{virtual_host}{prefix} (unreadable)",
+        name=f"(unreadable) {virtual_host}{prefix}"[:NAME_LIMIT],
         virtual_host=virtual_host,
         path_prefix=prefix,
         is_suspended=True,
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -5,7 +5,9 @@
 import pytest
 
 from siskinpier.core.configuration.intents import ANY_VIRTUAL_HOST, Route
+from siskinpier.core.messages import IntentsNotice
 from siskinpier.core.routing.routes import RouteTable, make_route_table
+from siskinpier.edge.codec import decode_message, encode_message
 from siskinpier.platform.configuration import (
     NOT_REPEATABLE,
     SUSPENDED,
@@ -106,6 +108,32 @@
         assert isinstance(decode_configuration(spec, make_settings()), Unreadable)
 
 
+class TestPassedOn:
+    """What one host read, the others take from it, whatever its values are."""
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            (f"{RULE}.name", "n" * 200),
+            (f"{RULE}.match.pathPrefix", "/" + "p" * 200),
+            (f"{RULE}.match.pathPrefix", 7),
+            (f"{RULE}.action", {"service": 7}),
+            (f"{RULE}.action.timeoutS", 1e9),
+            (f"{RULE}.action.attempts", 1_000),
+            (f"{RULE}.action.weightedServices.0.weight", 1e9),
+            (f"{RULE}.priority", 10**9),
+            (f"{RULE}.targetLatencyS", 1e9),
+            ("listeners.0.host", "h" * 200),
+            ("clusters.0.maxConnections", 10**9),
+            ("clusters.0.name", "n" * 200),
+        ],
+    )
+    def test_notice(self, path: str, value: Any) -> None:
+        intents = decode(change(make_config(), path, value)).intents
+        notice = IntentsNotice(version="1", intents=intents)
+        assert decode_message(encode_message(notice)) == notice
+
+
 class TestKinds:
     """Only kinds that are known to be repeatable are repeated."""
 
