Use no grant after its call's time, as a host that stood still might

Change: a grant, a second attempt and the answer to a check count only before the call's deadline; the grant is given back.

Tests: test_slots::TestOnce::test_grant_that_a_host_hears_after_it_stood_still failed before (the call was sent 4 s after its deadline).

--- a/src/siskinpier/core/routing/check_results.py
+++ b/src/siskinpier/core/routing/check_results.py
@@ -35,7 +35,7 @@
     """Place a call elsewhere whose server gave no word in time, if there is one."""
     service = state.services.get(timer.service)
     server = service.servers.get(timer.server) if service is not None else None
-    active = _get_checking(state, timer.call_id)
+    active = _get_checking(state, timer.call_id, now)
     if service is None or active is None:
         return
     if server is not None and not _has_other(service, server, active, now):
@@ -73,7 +73,7 @@
     out: list[Effect],
 ) -> None:
     reason = end_check(server, call_id)
-    active = _get_checking(state, call_id)
+    active = _get_checking(state, call_id, now)
     if reason is None or active is None:
         return
     timer = CheckDue(
@@ -100,8 +100,11 @@
         tell_queued(state, service, active, now, out)
 
 
-def _get_checking(state: HostState, call_id: str) -> ActiveCall | None:
+def _get_checking(state: HostState, call_id: str, now: float) -> ActiveCall | None:
+    """Return a call that still waits for word of a server, in its time."""
     active = state.calls.get(call_id)
     if active is None or active.stage is not Stage.CHECKING:
         return None
+    if now >= active.call.deadline:
+        return None  # The timer of its deadline gives the answer.
     return active
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -144,7 +144,9 @@
     if active is not None and grant.is_hedge:
         _take_hedge(state, active, grant, sender, now, out)
         return
-    if active is None or not _is_awaited(active, sender, grant.ask):
+    is_over = active is not None and now >= active.call.deadline
+    if active is None or is_over or not _is_awaited(active, sender, grant.ask):
+        # A host that stood still may hear of a grant when its call's time is over.
         withdraw(state, sender, grant.call, grant.ask, out, grant.number)
         return
     service = state.services.get(active.call.service)
@@ -203,6 +205,7 @@
     home = state.members.get(sender)
     may_send = (
         active.stage is Stage.SENT
+        and now < active.call.deadline
         and active.rival is None
         and active.idempotent
         and active.call.replayable
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,6 +1,15 @@
 """Tests of slots that homes grant: one queue, one use of a grant, homes that die."""
 
-from siskinpier.core.messages import SlotGrant, SlotQueued, SlotRequest
+from siskinpier.core.effects import SendAttempt, SendMessage
+from siskinpier.core.events import MessageReceived
+from siskinpier.core.messages import (
+    Message,
+    SlotEnd,
+    SlotGrant,
+    SlotQueued,
+    SlotRequest,
+)
+from siskinpier.core.reducer import reduce
 from siskinpier.core.verdict import Verdict
 from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
 
@@ -67,6 +76,27 @@
 class TestOnce:
     """A call that may not be repeated is sent once, whatever happens to messages."""
 
+    def test_grant_that_a_host_hears_after_it_stood_still(self) -> None:
+        world = make_world(idempotent=False)
+        other = get_other(world)
+        held: list[tuple[str, Message]] = []
+
+        def hold(sender: str, to: str, message: Message) -> bool:
+            if to == other and isinstance(message, SlotGrant):
+                held.append((sender, message))
+            return to == other
+
+        world.drop = hold
+        world.call(other, "c1", 1.0)
+        world.run_for(0.01)
+        ((home, grant),) = held
+        # The host wakes after its call's time; of what waits the grant comes first.
+        late = MessageReceived(now=world.now + 5.0, sender=home, message=grant)
+        effects = reduce(world.states[other], late)
+        assert not any(isinstance(effect, SendAttempt) for effect in effects)
+        ends = [e.message for e in effects if isinstance(e, SendMessage)]
+        assert [type(message) for message in ends] == [SlotEnd]
+
     def test_grant_that_comes_twice(self) -> None:
         world = make_world(idempotent=False)
         other = get_other(world)
