Answer whoever was accepted, or waited to be, before a stopped host ends

Change: as the listeners close, what waits in them is accepted; requests on accepted connections are answered for another 0.1 s (503, not run, come back) before the connections close.

--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -1,7 +1,10 @@
 """What every kind of host runs on: callers' server, signals, clock, collector."""
 
+import asyncio
+import contextlib
 import gc
 import signal
+import socket
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -19,16 +22,55 @@
 # Objects allocated before the youngest generation is collected, and collections
 # of each younger generation before the next older one is.
 COLLECTOR_THRESHOLDS: Final = (20_000, 50, 100)
+# Time for requests on connections that were accepted, seconds.
+LAST_REQUESTS_S: Final = 0.1
 
 
 class CallerServer(uvicorn.Server):
-    """A server that leaves signals to the host."""
+    """A server that leaves signals to the host, and ends without cutting anyone off."""
 
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Do nothing: the host handles signals."""
         yield
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Answer what comes on accepted connections before they are closed.
+
+        The server would close those at once whose request is on its way.
+        """
+        for conn in self._close_listeners():
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._make_connection, conn, ssl=self.config.ssl
+            )
+        await anyio.sleep(LAST_REQUESTS_S)
+        await super().shutdown(sockets)
+
+    def _close_listeners(self) -> list[socket.socket]:
+        """Take no more connections; return those that waited to be accepted.
+
+        They would be reset with the socket that listens.
+        """
+        listeners = [sock.dup() for server in self.servers for sock in server.sockets]
+        for server in self.servers:
+            server.close()
+        accepted: list[socket.socket] = []
+        for listener in listeners:
+            listener.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    accepted.append(listener.accept()[0])
+            listener.close()
+        return accepted
+
+    def _make_connection(self) -> asyncio.Protocol:
+        """Return the protocol of a connection, as the server itself makes it."""
+        return self.config.http_protocol_class(  # type: ignore[call-arg]
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
 
 def calm_collector() -> None:
     """Let the garbage collector run seldom, and over new objects only.
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -59,7 +59,7 @@
 # ones are refused. They give up requests that are not read for a third of their time.
 START_HOLD_S: Final = 0.4
 # Time for the last answers to be written out, seconds.
-WRITE_OUT_S: Final = 0.3
+WRITE_OUT_S: Final = 0.5
 # Part of the allowance beside the share of calls that one home may use at once.
 # Three homes of a service with retries and hedges leave room for their successors.
 BURST_PART: Final = 0.1
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -246,6 +246,49 @@
         assert deployment.host.ask("/find/").status_code == 200
 
 
+class TestStop:
+    """A planned stop under load: callers come on new connections until the end."""
+
+    CALLERS = 12
+
+    def test_no_request_is_cut_off(self, deployment: Deployment) -> None:
+        host = deployment.host
+        outcomes: list[str] = []
+        callers = [
+            threading.Thread(target=self._call_on, args=(host, outcomes))
+            for _ in range(self.CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        wait_until(lambda: len(outcomes) > 50)
+        host.child.send_signal(signal.SIGTERM)
+        for caller in callers:
+            caller.join(WITHIN_S)
+        assert set(outcomes) <= {"200", "503"}
+        assert outcomes.count("200") > 50
+
+    def _call_on(self, host: PlatformHost, outcomes: list[str]) -> None:
+        """Send requests, each on a connection of its own, until none is taken."""
+        request = (
+            b"GET /search/1 HTTP/1.1\r\nHost: films.example\r\n"
+            b"X-Request-Id: %d\r\nX-Deadline-Ms: 5000\r\n\r\n"
+        )
+        number = 0
+        while True:
+            try:
+                sock = socket.create_connection(("127.0.0.1", host.front), WITHIN_S)
+            except OSError:
+                return
+            number += 1
+            with sock:
+                sock.sendall(request % number)
+                try:
+                    head = sock.recv(100)
+                except OSError:
+                    head = b""
+            outcomes.append(head[9:12].decode() if head else "cut")
+
+
 class TestExplain:
     """The three kinds of failed request of docs/OPERATIONS.md, from logs alone."""
 
