Let a delegate that stood still judge no failure domain by what it missed

Cause: found by reading. A host that wakes after some seconds judges nobody by the heartbeats it missed, but it judged whole failure domains so: half a second after it woke a delegate took all hosts of the four other domains for silent and told its own domain.

Change: what was heard of the other domains counts from the moment it woke.

Tests: test_delegates::test_delegate_that_stood_still, both cases failed before.

--- a/src/siskinpier/core/cluster/dissemination.py
+++ b/src/siskinpier/core/cluster/dissemination.py
@@ -12,11 +12,7 @@
 from ..effects import Effect, LogDecision, SendMessage
 from ..messages import Heartbeat, MemberRecord, MembersNotice
 from ..state import HostState
-from .delegates import (
-    is_delegate,
-    lose_silent_domains,
-    tell_far,
-)
+from .delegates import is_delegate, lose_silent_domains, tell_far
 from .members import (
     FAR_HEARTBEATS,
     SILENCE_LIMIT_HEARTBEATS,
@@ -60,6 +56,7 @@
     state.last_beat = now
     if was_paused:
         state.last_heard = now
+        state.heard_domains = dict.fromkeys(state.heard_domains, now)
         for member in state.members.values():
             if member.monitored_since is not None:
                 member.monitored_since = now
--- a/tests/test_delegates.py
+++ b/tests/test_delegates.py
@@ -7,6 +7,7 @@
 from siskinpier.core.cluster.delegates import DOMAIN_SILENCE_S, list_delegates
 from siskinpier.core.events import Event, TimerFired
 from siskinpier.core.messages import Message
+from siskinpier.core.timers import HeartbeatDue
 from siskinpier.edge.codec import encode_message
 from tests.standins.slot_world import SlotWorld
 
@@ -94,6 +95,20 @@
         world.run_for(TOLD_S)
         assert len(list_believers(world, victim)) == len(world.states) - 1
 
+    @pytest.mark.parametrize("place", [0, 1])
+    def test_delegate_that_stood_still(self, place: int) -> None:
+        world = make_world()
+        frozen = find_delegates(world, "d0")[place]
+        world.dead.add(frozen)
+        world.run_for(DOMAIN_SILENCE_S + KNOWN_S)
+        world.dead.clear()
+        # Its timers come due as it wakes.
+        world.handle(frozen, TimerFired(now=world.now, timer=HeartbeatDue()))
+        world.run_for(KNOWN_S)
+        assert not world.find_logs("domain-silent")
+        for state in world.states.values():
+            assert len(state.live) == len(world.states)
+
     def test_half_of_all_hosts_die_and_return(self) -> None:
         world = make_world()
         victims = list(world.states)[:12]
