Ask once a heartbeat whether this host speaks for its domain

Cause: found by reading. Whether a host may greet each far member was asked with a ranking of its own domain's hosts each time.

--- a/src/siskinpier/core/cluster/delegates.py
+++ b/src/siskinpier/core/cluster/delegates.py
@@ -106,8 +106,13 @@
         if now - heard_at <= DOMAIN_SILENCE_S:
             continue
         del state.heard_domains[domain]
-        members = [m for m in state.members.values() if m.failure_domain == domain]
-        members = [m for m in members if m.silent_since is None and m.last_heard]
+        members = [
+            member
+            for member in state.members.values()
+            if member.failure_domain == domain
+            and member.silent_since is None
+            and member.last_heard is not None
+        ]
         for member in members:
             lose_sight(member, now)
         lost += members
--- a/src/siskinpier/core/cluster/heartbeats.py
+++ b/src/siskinpier/core/cluster/heartbeats.py
@@ -87,25 +87,28 @@
         for service in state.services.values():
             if service.owned:
                 names += service.placement.get_all_homes()
-    greeted = [m for m in state.members.values() if _may_greet(state, m, now)]
-    unheard = [m.name for m in greeted if m.last_heard is None]
+    greeted = _list_greeted(state, now)
+    unheard = [
+        member.name
+        for member in greeted
+        if member.last_heard is None and now - member.first_listed <= GREET_S
+    ]
     names += rank_nodes(own.name, unheard)[:GREETED_LIMIT]
     silent = [m.name for m in greeted if m.silent_since is not None]
     names += state.rng.sample(silent, min(SILENT_TRIED, len(silent)))
     return names
 
 
-def _may_greet(state: HostState, member: Member, now: float) -> bool:
-    """Return True for a host that is out of touch, and may be told of this one.
+def _list_greeted(state: HostState, now: float) -> list[Member]:
+    """Return the hosts that this one greets if they are out of touch.
 
     Those of other failure domains hear of it from the hosts that speak for it.
     """
-    if member.last_heard is None and now - member.first_listed > GREET_S:
-        return False
-    if not state.settings.grants_slots:
-        return True
-    is_near = member.failure_domain == state.identity.failure_domain
-    return is_near or is_delegate(state, now)
+    members = state.members.values()
+    if not state.settings.grants_slots or is_delegate(state, now):
+        return list(members)
+    own = state.identity.failure_domain
+    return [member for member in members if member.failure_domain == own]
 
 
 def _list_thrifty_listeners(state: HostState, now: float) -> list[str]:
