Look again at a queue that waits for slow servers while nothing happens

Cause: found by reading. Whether to wait for a slow server or to take it was judged as a call came and at events; a call that came as a long spell began waited on in a quiet home until half of its time was over, and was refused.

Tests: test_slow_servers::TestAllSlow::test_call_that_came_as_they_became_slow, both cases refused after 2.5 s before (503), now answered.

--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -126,6 +126,7 @@
     PatienceDue,
     PauseDue,
     ProbesDue,
+    QueueReviewDue,
     RelayDue,
     ShutdownStep,
     SlotDue,
@@ -233,7 +234,11 @@
             service = state.services.get(name)
             if service is not None:
                 send_due_spare(state, service, now, out)
-        case PatienceDue(service=name) | PauseDue(service=name):
+        case (
+            PatienceDue(service=name)
+            | PauseDue(service=name)
+            | QueueReviewDue(service=name)
+        ):
             service = state.services.get(name)
             if service is not None:
                 drain_queue(state, service, now, out)
--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -7,7 +7,7 @@
 from ..messages import SpareNotice
 from ..problems import make_no_server, make_overloaded, make_paused
 from ..state import HostState, ServiceRuntime
-from ..timers import CallDeadline, PatienceDue
+from ..timers import CallDeadline, PatienceDue, QueueReviewDue
 from ..verdict import Problem
 from .admission import (
     estimate_wait_s,
@@ -32,8 +32,11 @@
 from .refusals import forget, refuse
 from .run_times import get_usual_s
 from .slot_requests import ask_slot, ask_spare
+from .speeds import is_slow
 
 OVERTAKEN_LIMIT: Final = 8
+# How often a queue that waits for slow servers is looked at, seconds.
+REVIEW_S: Final = 0.1
 # Part of its time after which a call that still waits is refused.
 WAITING_PART: Final = 0.5
 
@@ -106,9 +109,22 @@
             continue
         choice = Choice(server=server, reason="queued")
         send_or_check(state, service, active, choice, now, out)
+    _plan_review(service, now, out)
     report_spare(state, service, now, out)
 
 
+def _plan_review(service: ServiceRuntime, now: float, out: list[Effect]) -> None:
+    """Look at the queue again soon if it waits for slow servers with room.
+
+    Nothing may happen meanwhile, and a spell that goes on changes the choice.
+    """
+    if len(service.queue) == 0:
+        return
+    if any(is_slow(s, now) and has_room(s, now) for s in service.owned):
+        timer = QueueReviewDue(service=service.intent.name)
+        out.append(SetTimer(timer=timer, at=now + REVIEW_S))
+
+
 def take_spare_notice(
     state: HostState,
     notice: SpareNotice,
@@ -331,6 +347,7 @@
     service.queue.push(
         active, is_late=active.is_late(get_usual_s(service, active), now)
     )
+    _plan_review(service, now, out)
     if active.aim_s > 0.0:
         # Refused once half its time is over and its aim missed; see `send`.
         active.has_waiting_bound = True
--- a/src/siskinpier/core/timers.py
+++ b/src/siskinpier/core/timers.py
@@ -84,6 +84,13 @@
     service: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QueueReviewDue:
+    """Time to look again whether calls had better wait for servers that are slow."""
+
+    service: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PauseDue:
     """The end of a pause that a server asked of a host; empty for this one."""
@@ -126,6 +133,7 @@
     | HedgeDue
     | SlotDue
     | PatienceDue
+    | QueueReviewDue
     | PauseDue
     | CheckDue
     | RelayDue
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -155,6 +155,18 @@
         world.run_for(5.0)
         assert {answer.status for answer in world.answers.values()} == {200}
 
+    @pytest.mark.parametrize("idempotent", [False, True])
+    def test_call_that_came_as_they_became_slow(self, idempotent: bool) -> None:
+        made = [ScriptedServer(name="s0", failure_domain="d0", work_s=0.1)]
+        route = make_route(idempotent=idempotent, aim_s=1.0, timeout_s=5.0)
+        world = SlotWorld(hosts={"h0": "d0", "h1": "d0"}, servers=made, route=route)
+        made[0].slowdown = 9.0
+        world.run_for(0.3)
+        world.call("h1", "c", 10.0)
+        # Nothing else happens that would have the home look at its queue.
+        world.run_for(6.0)
+        assert world.answers["c"].status == 200
+
 
 class TestSilent:
     """A server that leaves all questions unanswered."""
