Count what budgets of second sends earn and let pass; say who told of an entry

A log could not tell whether a second send had cost a token, nor whether a server that was in use again had been put back by another host's list. Counters by service, kind and outcome; each registered line names the host or the way the entry came by; a line for each entry that is held. No decision changes.

--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -29,6 +29,10 @@
 # seconds. A little less than the two that they may take, as one that left in truth must
 # get no calls two seconds after its entry went.
 LAPSE_GRACE_S: Final = 1.6
+# What told of an entry, in log lines, where it was no other host.
+LISTED: Final = "list"
+WATCHED: Final = "watch"
+HOLD_ENDED: Final = "end-of-hold"
 # Declared to have this many connections until the configuration says more.
 DEFAULT_CONNECTIONS: Final = 250
 
@@ -42,7 +46,7 @@
     changed = [s for s in event.servers if registry.servers.get(s.name) != s]
     missing = [name for name in registry.servers if name not in listed]
     missing = _hold_lapsed(state, missing, event.now, out)
-    _take(state, event.revision, changed, missing, event.now, out)
+    _take(state, event.revision, changed, missing, event.now, out, told_by=LISTED)
     servers = tuple(registry.servers.values())
     _pass_on(state, registry.revision, servers, (), out, is_whole=True)
 
@@ -54,7 +58,7 @@
     if event.revision <= base:
         return
     gone = _hold_lapsed(state, event.gone, event.now, out)
-    _take(state, event.revision, event.servers, gone, event.now, out)
+    _take(state, event.revision, event.servers, gone, event.now, out, told_by=WATCHED)
     _pass_on(state, base, event.servers, tuple(gone), out, is_whole=False)
 
 
@@ -77,7 +81,7 @@
     if notice.is_whole:
         listed = {server.name for server in notice.servers}
         gone = [name for name in registry.servers if name not in listed]
-    _take(state, notice.revision, notice.servers, gone, now, out)
+    _take(state, notice.revision, notice.servers, gone, now, out, told_by=sender)
 
 
 def note_leaving(state: HostState, name: str, now: float, out: list[Effect]) -> None:
@@ -171,7 +175,7 @@
     gone = tuple(name for name in due if name in registry.servers)
     if not gone:
         return
-    _take(state, registry.revision, (), gone, now, out)
+    _take(state, registry.revision, (), gone, now, out, told_by=HOLD_ENDED)
     base = registry.revision
     _pass_on(state, base, (), gone, out, is_whole=False)
 
@@ -196,8 +200,14 @@
         server = state.registry.servers.get(name)
         if server is None or server.is_draining:
             dropped.append(name)
-        else:
-            lapsed.setdefault(name, at)
+        elif name not in lapsed:
+            lapsed[name] = at
+            fields: dict[str, object] = {
+                "service": server.service,
+                "server": name,
+                "for_s": round(at - now, 3),
+            }
+            out.append(LogDecision(event="held", fields=fields))
     if lapsed:
         out.append(SetTimer(timer=LapseDue(), at=min(lapsed.values()) + 0.01))
     return dropped
@@ -210,7 +220,10 @@
     gone: Iterable[str],
     now: float,
     out: list[Effect],
+    *,
+    told_by: str,
 ) -> None:
+    """Take in entries; `told_by` names the host or the way they came by."""
     registry = state.registry
     servers = tuple(servers)
     touched: set[str] = set()
@@ -220,7 +233,7 @@
         old = registry.servers.pop(name, None)
         if old is not None:
             touched.add(old.service)
-            _log_server("gone", old, revision, out)
+            _log_server("gone", old, revision, told_by, out)
     for server in servers:
         old = registry.servers.get(server.name)
         registry.lapsed.pop(server.name, None)
@@ -232,7 +245,7 @@
             touched.add(old.service)
         if old is None or old.is_draining != server.is_draining:
             standing = "draining" if server.is_draining else "ready"
-            _log_server(standing, server, revision, out)
+            _log_server(standing, server, revision, told_by, out)
     registry.revision = revision
     refresh_services(state, touched, now, out)
 
@@ -271,7 +284,11 @@
 
 
 def _log_server(
-    standing: str, server: RegisteredServer, revision: int, out: list[Effect]
+    standing: str,
+    server: RegisteredServer,
+    revision: int,
+    told_by: str,
+    out: list[Effect],
 ) -> None:
     fields: dict[str, object] = {
         "state": standing,
@@ -279,5 +296,6 @@
         "server": server.name,
         "address": server.address,
         "revision": revision,
+        "told_by": told_by,
     }
     out.append(LogDecision(event="registered", fields=fields))
--- a/src/siskinpier/core/routing/budgets.py
+++ b/src/siskinpier/core/routing/budgets.py
@@ -27,23 +27,32 @@
 
 @dataclass(slots=True, kw_only=True)
 class TokenBucket:
-    """Hold up to `capacity` tokens, refilled at `rate` tokens a second."""
+    """Hold up to `capacity` tokens, refilled at `rate` tokens a second.
+
+    `added`, `taken` and `denied` count tokens since the start, for metrics.
+    """
 
     rate: float
     capacity: float
     tokens: float = 0.0
     updated: float = 0.0
+    added: float = 0.0
+    taken: float = 0.0
+    denied: float = 0.0
 
     def take(self, now: float, amount: float = 1.0) -> bool:
         """Take tokens and return True, or leave them and return False."""
         self._refill(now)
         if self.tokens < amount:
+            self.denied += amount
             return False
         self.tokens -= amount
+        self.taken += amount
         return True
 
     def add(self, amount: float) -> None:
         """Add tokens, up to the capacity."""
+        self.added += amount
         self.tokens = min(self.capacity, self.tokens + amount)
 
     def _refill(self, now: float) -> None:
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -85,7 +85,16 @@
         retries = _make_gauge(
             "retry_budget", "Second attempts that this host may make now.", "service"
         )
+        repeats = CounterMetricFamily(
+            "siskinpier_repeats",
+            "Second sends that the budget of a service earned here, let pass, denied.",
+            labels=["service", "kind", "outcome"],
+        )
         for name, service in state.services.items():
+            for kind, bucket in (("retry", service.retries), ("hedge", service.hedges)):
+                repeats.add_metric([name, kind, "earned"], bucket.added)
+                repeats.add_metric([name, kind, "passed"], bucket.taken)
+                repeats.add_metric([name, kind, "denied"], bucket.denied)
             retries.add_metric([name], service.retries.tokens)
             queue.add_metric([name], len(service.queue))
             in_flight.add_metric([name], sum(s.in_flight for s in service.owned))
@@ -94,6 +103,7 @@
         yield in_flight
         yield budget
         yield retries
+        yield repeats
         age = _make_gauge(
             "platform_word_age_seconds",
             "Age of the last word that configuration and server list are current.",
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -356,6 +356,8 @@
         route = 'siskinpier_route_seconds_count{route="films.example/search"'
         assert route in page
         assert 'siskinpier_retry_budget{service="films"}' in page
+        earned = 'kind="retry",outcome="earned",service="films"'
+        assert f"siskinpier_repeats_total{{{earned}}}" in page
         assert "siskinpier_platform_word_age_seconds" in page
 
     def test_lines_left_out_are_counted(self) -> None:
