Let no second send of a call go out without a token

A call that waits in its home's queue asks other homes for a slot to spare. Their refusals were counted among the homes that an attempt may ask in vain (three), and were never forgotten, so after a first server turned the call away its holder asked nobody, chose a server by itself, and paid no token; it also passed all calls that waited.

A refusal of a slot to spare is kept apart, both are forgotten with a new attempt, and a host that reaches no home pays a second send itself.

--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -5,7 +5,7 @@
 
 from ..effects import Effect, LogDecision, SetTimer
 from ..messages import SpareNotice
-from ..problems import make_no_server, make_overloaded, make_paused
+from ..problems import make_no_retry, make_no_server, make_overloaded, make_paused
 from ..state import HostState, ServiceRuntime
 from ..timers import CallDeadline, PatienceDue, QueueReviewDue
 from ..verdict import Problem
@@ -236,8 +236,14 @@
 ) -> None:
     """Serve a call from any backend server, as no home can be reached.
 
-    Servers of this host's failure domain come first.
+    Servers of this host's failure domain come first. A second send is paid for here,
+    as no home has done so.
     """
+    is_unpaid = state.settings.grants_slots and active.has_been_sent()
+    if is_unpaid and not service.retries.take(now):
+        forget(state, active, out)
+        refuse(active, make_no_retry(active.call.service), out)
+        return
     own = state.identity.failure_domain
     near = [s for s in service.servers.values() if s.intent.failure_domain == own]
     for servers in (near, service.servers.values()):
--- a/src/siskinpier/core/routing/retrying.py
+++ b/src/siskinpier/core/routing/retrying.py
@@ -57,5 +57,7 @@
             },
         )
     )
+    active.refused_by.clear()
+    active.without_spare.clear()
     place_call(state, service, active, now, out)
     return True
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -254,13 +254,14 @@
     active = state.calls.get(message.call)
     if active is None or not _is_awaited(active, sender, message.ask):
         return
-    active.refused_by.add(sender)
     ask = active.asks.pop(message.ask)
     service = state.services.get(active.call.service)
     if ask.is_spare:
+        active.without_spare.add(sender)
         if service is not None:
             ask_spare(state, service, active, now, out)
         return
+    active.refused_by.add(sender)
     may_ask = service is not None and not message.is_final
     if may_ask and service and ask_slot(state, service, active, now, out):
         return
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -61,6 +61,7 @@
 # Calls whose ids begin so take another route, and hardly any work, seconds.
 QUICK: Final = "quick"
 QUICK_S: Final = 0.005
+SETTINGS: Final = CoreSettings(servers_register=True, grants_slots=True)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -134,6 +135,8 @@
     says_leaving: bool = False
     # Turns all calls away and asks for this pause, seconds.
     pause_s: float | None = None
+    # Turns away this part of the calls.
+    shed_share: float = 0.0
     # Neighbours that slow it in spells; None for none.
     neighbours: Neighbours | None = None
     running: int = 0
@@ -148,6 +151,12 @@
             running=self.running, waiting=0, slots=self.slots, slowdown=slowdown
         )
 
+    def is_turning_away(self, call_id: str) -> bool:
+        """Return True if a call that comes now is not run."""
+        if self.is_replaced or self.pause_s is not None:
+            return True
+        return Random(f"{self.name}/{call_id}").random() < self.shed_share
+
     def get_run_s(self, call_id: str, now: float) -> float:
         """Return how long a call takes that starts now."""
         work_s = QUICK_S if call_id.startswith(QUICK) else self.work_s
@@ -181,13 +190,17 @@
         service: ServiceIntent | None = None,
         seed: int = 1,
         strengths: dict[str, float] | None = None,
+        settings: CoreSettings = SETTINGS,
     ) -> None:
         self.now = 1_000.0
+        self.settings = settings
         self.strengths = strengths or {}
         self.domains = hosts
         self.servers = {server.name: server for server in servers}
         self.answers: dict[str, Answer] = {}
         self.sent: list[tuple[str, str]] = []
+        # Calls that came to servers, run or not, and when.
+        self.arrivals: list[tuple[float, str]] = []
         self.logs: list[tuple[str, LogDecision]] = []
         self.messages = 0
         # Calls that came to a server that is not there any more.
@@ -287,7 +300,7 @@
                 peers=f"{name}:2",
                 strength=self.strengths.get(name, 1.0),
             ),
-            settings=CoreSettings(servers_register=True, grants_slots=True),
+            settings=self.settings,
             parse_intents=lambda _: None,
             seed=seed,
         )
@@ -427,7 +440,8 @@
 
     def _send(self, host: str, effect: SendAttempt) -> None:
         server = self.servers[effect.target]
-        if server.is_replaced or server.pause_s is not None:
+        self.arrivals.append((self.now, effect.call_id))
+        if server.is_turning_away(effect.call_id):
             self.turned_away_at.append((self.now, host, server.name))
             self.after(REJECT_S, lambda: self._turn_away(host, effect, server))
             return
@@ -479,8 +493,8 @@
             pause_s=server.pause_s,
         )
         self.handle(host, started)
-        if effect.call_id in self.states[host].calls:
-            return  # It is tried elsewhere.
+        if effect.call_id in self.states[host].calls or effect.call_id in self.answers:
+            return  # It is tried elsewhere, or was refused.
         self._answer(effect.call_id, 503, Verdict.NOT_RUN)
 
 
--- /dev/null
+++ b/tests/test_repeat_budget.py
@@ -0,0 +1,84 @@
+"""Second arrivals of calls at a service, over all hosts, in virtual time."""
+
+from dataclasses import replace
+from typing import Final
+
+import pytest
+
+from siskinpier.core.configuration.intents import ServiceIntent
+from siskinpier.core.messages import SlotRequest
+from tests.standins.slot_world import SETTINGS, ScriptedServer, SlotWorld, make_route
+
+# The users' rule: in a window, this part of the calls and so many more may arrive at
+# servers beyond the first time.
+RATIO: Final = 0.2
+SLACK: Final = 20.0
+WINDOW_S: Final = 10.0
+# The parts that retries and hedges earn of the ratio.
+SERVICE: Final = ServiceIntent(name="films", retry_share=0.08, hedge_share=0.06)
+DOMAINS: Final = ("d1", "d2", "d3", "d4")
+
+
+def make_world(
+    *, servers: int, hosts: int = 3, slots: int = 3, domains: tuple[str, ...] = DOMAINS
+) -> SlotWorld:
+    """Return hosts and servers, so many in each failure domain."""
+    return SlotWorld(
+        hosts={f"{d}-h{n}": d for d in domains for n in range(hosts)},
+        servers=[
+            ScriptedServer(name=f"{d}-s{n}", failure_domain=d, slots=slots)
+            for d in domains
+            for n in range(servers)
+        ],
+        service=SERVICE,
+        route=make_route(attempts=3, aim_s=0.4),
+        settings=replace(SETTINGS, repeat_burst=SLACK / 10),
+    )
+
+
+def call_steadily(world: SlotWorld, *, rate: float, length_s: float) -> int:
+    """Send calls to the hosts in turn; return how many."""
+    hosts = [name for name in world.states if name not in world.dead]
+    count = round(rate * length_s)
+    for number in range(count):
+        world.call(hosts[number % len(hosts)], f"c{len(world.answers)}-{number}")
+        world.run_for(1.0 / rate)
+    return count
+
+
+def count_second_arrivals(world: SlotWorld) -> int:
+    """Return the most second arrivals that any window saw."""
+    seen: set[str] = set()
+    again: list[float] = []
+    for at, call_id in world.arrivals:
+        if call_id in seen:
+            again.append(at)
+        seen.add(call_id)
+    return max(
+        (sum(start <= at <= start + WINDOW_S for at in again) for start in again),
+        default=0,
+    )
+
+
+class TestBudget:
+    """Second arrivals stay within the share of calls and the slack, over all hosts."""
+
+    @pytest.mark.parametrize("rate", [100, 200])
+    def test_servers_that_shed_behind_a_queue(self, rate: float) -> None:
+        # Calls that waited had asked other homes for a slot to spare, in vain.
+        world = make_world(servers=4)
+        for server in world.servers.values():
+            server.shed_share = 0.7
+            server.work_s = 0.2
+        calls = call_steadily(world, rate=rate, length_s=5.0)
+        world.run_for(2.0)
+        assert count_second_arrivals(world) <= RATIO * calls + SLACK
+
+    def test_homes_that_give_no_word(self) -> None:
+        world = make_world(servers=4)
+        for server in world.servers.values():
+            server.shed_share = 0.7
+        world.drop = lambda a, b, m: isinstance(m, SlotRequest)
+        calls = call_steadily(world, rate=20, length_s=8.0)
+        world.run_for(2.0)
+        assert count_second_arrivals(world) <= RATIO * calls + SLACK
