Let a fresh call earn its share of second sends once

Cause: the host that a caller reached counted each call as a fresh one, and so did each home that it asked for a slot, up to three and those asked for a slot to spare.

A call is counted by the home that it asks first, or by its own host where that owns servers or reaches no home.

--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -176,7 +176,8 @@
 class SlotRequest:
     """Ask the home of a service for a slot; times left are in seconds.
 
-    A request `is_repeat` if the call reached a backend server before. One that
+    A request `is_repeat` if the call reached a backend server before; one that
+    `earns_shares` is the first for its call. One that
     `may_cross` can be served by another home too, and one `spare_only` is
     granted at once or refused.
     """
@@ -193,6 +194,7 @@
     tried: tuple[str, ...]
     fingerprint: str
     is_repeat: bool = False
+    earns_shares: bool = False
     may_cross: bool = False
     spare_only: bool = False
     route: str = ""
--- a/src/siskinpier/core/routing/arrivals.py
+++ b/src/siskinpier/core/routing/arrivals.py
@@ -24,6 +24,7 @@
 from .dispatch import drain_queue, give_up_waiting, place_call
 from .quarantine import judge_quarantine
 from .refusals import forget, judge_unseen, refuse, refuse_unseen
+from .repeat_budget import earn_shares
 from .routes import apply_route, make_route_rule
 
 # How long a reply may take that began to arrive just before its deadline.
@@ -89,10 +90,10 @@
         refuse_unseen(call, make_key_invalid(), out)
         return
     state.calls[call.call_id] = active
-    if call.hops == 0:
-        # The host that forwards a call has counted it as a fresh one.
-        service.retries.add(service.intent.retry_share)
-        service.hedges.add(service.intent.hedge_share)
+    # A call that was forwarded is counted where it came from, and one whose slot
+    # another host grants is counted there.
+    if call.hops == 0 and (service.owned or not state.settings.grants_slots):
+        earn_shares(service, active)
     out.append(SetTimer(timer=CallDeadline(call_id=call.call_id), at=call.deadline))
     if needs_claim(active):
         start_claim(state, active, event.now, out)
--- a/src/siskinpier/core/routing/calls.py
+++ b/src/siskinpier/core/routing/calls.py
@@ -159,6 +159,8 @@
     holder: str = ""
     holder_address: str = ""
     holders_id: str = ""
+    # Was counted as a fresh call, here or at the home that was asked first.
+    has_earned: bool = False
     # Servers that were asked for their speed for this call.
     checks: int = 0
     # Whether the holder sent the call to a server before.
--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -30,6 +30,7 @@
 from .pauses import get_pause_end
 from .quarantine import judge_quarantine
 from .refusals import forget, refuse
+from .repeat_budget import earn_shares
 from .run_times import get_usual_s
 from .slot_requests import ask_slot, ask_spare
 from .speeds import is_slow
@@ -239,6 +240,7 @@
     Servers of this host's failure domain come first. A second send is paid for here,
     as no home has done so.
     """
+    earn_shares(service, active)
     is_unpaid = state.settings.grants_slots and active.has_been_sent()
     if is_unpaid and not service.retries.take(now):
         forget(state, active, out)
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -44,6 +44,7 @@
 from .health import record_success
 from .hedging import learn_hedge_time
 from .refusals import forget, refuse
+from .repeat_budget import add_shares
 from .run_times import learn_run_time
 from .server_words import take_pause
 from .slot_notices import tell_queued
@@ -350,11 +351,11 @@
 
 
 def _take_budget(service: ServiceRuntime, request: SlotRequest, now: float) -> bool:
-    """Count a fresh call, or take the token that a repeat costs."""
+    """Count a fresh call once, or take the token that a repeat costs."""
     if request.is_repeat:
         return service.retries.take(now)
-    service.retries.add(service.intent.retry_share)
-    service.hedges.add(service.intent.hedge_share)
+    if request.earns_shares:
+        add_shares(service)
     return True
 
 
--- a/src/siskinpier/edge/codec.py
+++ b/src/siskinpier/edge/codec.py
@@ -28,7 +28,7 @@
 )
 from ..ranges import is_in_range
 
-PROTOCOL_VERSION: Final = 5
+PROTOCOL_VERSION: Final = 6
 MESSAGE_LIMIT_BYTES: Final = 1_048_576
 
 _KINDS: Final[dict[str, type[Any]]] = {
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -6,7 +6,7 @@
 import pytest
 
 from siskinpier.core.configuration.intents import ServiceIntent
-from siskinpier.core.messages import SlotRequest
+from siskinpier.core.messages import SlotGrant, SlotRequest
 from tests.standins.slot_world import SETTINGS, ScriptedServer, SlotWorld, make_route
 
 # The users' rule: in a window, this part of the calls and so many more may arrive at
@@ -82,3 +82,16 @@
         calls = call_steadily(world, rate=20, length_s=8.0)
         world.run_for(2.0)
         assert count_second_arrivals(world) <= RATIO * calls + SLACK
+
+
+class TestShares:
+    """A fresh call earns its share of a second send once."""
+
+    def test_call_that_asks_several_homes(self) -> None:
+        world = make_world(servers=4)
+        silent = world.get_home("d1")
+        world.drop = lambda a, b, m: a == silent and isinstance(m, SlotGrant)
+        calls = call_steadily(world, rate=50, length_s=4.0)
+        services = [state.services["films"] for state in world.states.values()]
+        assert sum(s.retries.added for s in services) == pytest.approx(0.08 * calls)
+        assert sum(s.hedges.added for s in services) == pytest.approx(0.06 * calls)
