Share the slack of second sends among the homes of a service

The rule gives all hosts together a slack beside the share of calls. The class: a bound over the whole fleet, kept by each member with a part that does not shrink with their number.

The homes share it by the number that the service has when no failure domain is away, keep what was earned up to their part, and begin with half of that once in a process's life; a host that is no home keeps nothing.

--- a/src/siskinpier/core/cluster/placement.py
+++ b/src/siskinpier/core/cluster/placement.py
@@ -52,6 +52,16 @@
     return max(1, ceil(servers / SERVERS_PER_HOME))
 
 
+def count_all_homes(service: ServiceIntent, placement: ServicePlacement) -> int:
+    """Return how many homes a service has when no failure domain is away.
+
+    A host that is cut off sees fewer, and must not take itself for all of them.
+    """
+    domains = {server.failure_domain for server in service.servers}
+    expected = sum(count_homes(service, domain) for domain in domains)
+    return max(1, expected, len(placement.get_all_homes()))
+
+
 def place_service(
     service: ServiceIntent, hosts: Iterable[LiveHost], *, is_split: bool = False
 ) -> ServicePlacement:
--- a/src/siskinpier/core/cluster/views.py
+++ b/src/siskinpier/core/cluster/views.py
@@ -6,7 +6,8 @@
 from ..effects import Effect, LogDecision
 from ..routing.balance import ServerRuntime
 from ..routing.budgets import TokenBucket
-from ..state import HostState, Lifecycle, ServiceRuntime
+from ..routing.repeat_budget import share_slack
+from ..state import RETRY_TOKENS_KEPT, HostState, Lifecycle, ServiceRuntime
 from .dissemination import refresh_monitors
 from .members import is_believed_alive, is_live
 from .neighbours import make_rings
@@ -74,6 +75,8 @@
     )
     owned = service.placement.get_owned(state.identity.name)
     service.owned = [service.servers[name] for name in owned]
+    if state.settings.grants_slots:
+        share_slack(service, state.settings.repeat_slack)
 
 
 def make_service(
@@ -97,14 +100,13 @@
             runtime.warm_from = now
         runtime.intent = server
     if old is None:
-        burst = state.settings.repeat_burst
         return ServiceRuntime(
             intent=intent,
             placement=NO_PLACEMENT,
             servers=servers,
             owned=[],
-            retries=TokenBucket(rate=0.0, capacity=burst, tokens=burst),
-            hedges=TokenBucket(rate=0.0, capacity=burst, tokens=burst),
+            retries=_make_bucket(state),
+            hedges=_make_bucket(state),
         )
     old.intent = intent
     old.servers = servers
@@ -112,6 +114,12 @@
     return old
 
 
+def _make_bucket(state: HostState) -> TokenBucket:
+    """Return the tokens of a fresh host: none where homes share the slack."""
+    kept = 0.0 if state.settings.grants_slots else RETRY_TOKENS_KEPT
+    return TokenBucket(rate=0.0, capacity=kept, tokens=kept)
+
+
 def _list_ring_hosts(state: HostState, now: float) -> list[LiveHost]:
     """Return the hosts that take part in the rings, leaving ones included."""
     own = state.identity
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -23,6 +23,7 @@
 from .routing.waiting import CallQueue
 
 RETRY_TOKENS_KEPT: Final = 10.0
+DEFAULT_REPEAT_SLACK: Final = 60.0
 # Time over which the rate of ending calls is taken, seconds.
 ENDS_MEMORY_S: Final = 1.0
 
@@ -66,8 +67,9 @@
     servers_register: bool = False
     # Homes grant slots, in place of taking forwarded calls.
     grants_slots: bool = False
-    # Retries, and as many hedges, that a host may make of a service in a burst.
-    repeat_burst: float = RETRY_TOKENS_KEPT
+    # Second sends of a service, beside the share of its calls, that the rule allows
+    # all homes that grant slots together in any ten seconds.
+    repeat_slack: float = DEFAULT_REPEAT_SLACK
 
 
 @dataclass(slots=True, kw_only=True)
@@ -109,6 +111,8 @@
     )
     hedge_after_s: float = 0.0
     compared_from: int = 0
+    # Was a home that grants slots before.
+    was_home: bool = False
     spare_sent: int = 0
     spare_sent_at: float = 0.0
     spare_timer_set: bool = False
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -60,9 +60,6 @@
 START_HOLD_S: Final = 0.4
 # Time for the last answers to be written out, seconds.
 WRITE_OUT_S: Final = 0.5
-# Part of the allowance beside the share of calls that one home may use at once.
-# Three homes of a service with retries and hedges leave room for their successors.
-BURST_PART: Final = 0.1
 # Less than the time after which backend servers close an idle connection.
 KEEP_ALIVE_S: Final = 4.0
 
@@ -219,7 +216,7 @@
             platform_writes_per_second=settings.writes_per_second,
             servers_register=True,
             grants_slots=True,
-            repeat_burst=max(1.0, settings.retry_slack * BURST_PART),
+            repeat_slack=settings.retry_slack,
         ),
         parse_intents=lambda spec: None,
         seed=time.time_ns(),
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -61,7 +61,10 @@
 # Calls whose ids begin so take another route, and hardly any work, seconds.
 QUICK: Final = "quick"
 QUICK_S: Final = 0.005
-SETTINGS: Final = CoreSettings(servers_register=True, grants_slots=True)
+# The slack is so large that it binds only where a test gives another.
+SETTINGS: Final = CoreSettings(
+    servers_register=True, grants_slots=True, repeat_slack=300.0
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -32,7 +32,7 @@
         ],
         service=SERVICE,
         route=make_route(attempts=3, aim_s=0.4),
-        settings=replace(SETTINGS, repeat_burst=SLACK / 10),
+        settings=replace(SETTINGS, repeat_slack=SLACK),
     )
 
 
@@ -83,6 +83,39 @@
         world.run_for(2.0)
         assert count_second_arrivals(world) <= RATIO * calls + SLACK
 
+    def test_many_homes(self) -> None:
+        # Four homes in each of five failure domains.
+        world = make_world(servers=48, hosts=4, domains=(*DOMAINS, "d5"))
+        for server in world.servers.values():
+            server.shed_share = 0.8
+        calls = call_steadily(world, rate=100, length_s=0.5)
+        world.run_for(1.0)
+        assert count_second_arrivals(world) <= RATIO * calls + SLACK
+
+    def test_homes_that_all_restart(self) -> None:
+        world = make_world(servers=24)
+        for server in world.servers.values():
+            server.shed_share = 1.0
+        calls = 0
+        for _ in range(4):
+            calls += call_steadily(world, rate=60, length_s=0.6)
+            world.run_for(0.2)
+            for name in world.states:
+                world.restart(name)
+            world.run_for(1.5)
+        assert count_second_arrivals(world) <= RATIO * calls + SLACK
+
+    def test_hosts_that_are_cut_off(self) -> None:
+        # Each takes itself for the home of all servers.
+        world = make_world(servers=4, hosts=6)
+        for server in world.servers.values():
+            server.shed_share = 1.0
+        world.drop = lambda a, b, m: True
+        world.run_for(5.0)
+        calls = call_steadily(world, rate=50, length_s=2.0)
+        world.run_for(1.0)
+        assert count_second_arrivals(world) <= RATIO * calls + SLACK
+
 
 class TestShares:
     """A fresh call earns its share of a second send once."""
