Tell what the platform listed, not what a host still holds of before

A relay that was answered again held what had gone meanwhile for 1.6 s, as after an outage of the store, and told its domain its own list, held entries included, as the whole of the registry, so hosts that another relay had told better put them back. The end of the hold was told with the relay's revision, and passed over by hosts that had heard a later one, or by all where the relay had ended. Each whole list went to 30 hosts over a link of 10 Mbit/s, behind which the relay's own question to the store timed out: it took itself for lost, and listed again, five times in eight seconds. Ruled out: late word in calm (142 hosts knew a draining server within 0.17 s).

A relay tells what changed, with a hash of the names that stand at the platform; who comes to another hash asks for all. What is held is named as such, is never put back, and each host ends its holds itself. An outage ends with the first answer to any host of the domain, and an entry that is listed again as it was stays. Class: state that one host keeps for safety, told to others as fact.

--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -9,8 +9,10 @@
 from dataclasses import replace
 from typing import Final
 
+import xxhash
+
 from ..configuration.intents import BackendServer, ServerState, ServiceIntent
-from ..effects import Effect, LogDecision, SendMessage, SetTimer
+from ..effects import Effect, LogDecision, SendMessage
 from ..events import ServersChanged, ServersListed
 from ..messages import (
     RegisteredServer,
@@ -19,16 +21,12 @@
     ServersRequest,
 )
 from ..routing.dispatch import drain_queue, place_stranded
-from ..state import HostState
-from ..timers import LapseDue
+from ..state import HostState, RegistryState
 from .broadcast import tell_domain
+from .lapses import end_due_holds, hold_lapsed, list_held, take_held
 from .leaving_marks import HeardFrom, clear_marks, mark_leaving
 from .views import get_live_hosts, make_service, place
 
-# Time after an outage for servers whose entries lapsed in it to write them again,
-# seconds. A little less than the two that they may take, as one that left in truth must
-# get no calls two seconds after its entry went.
-LAPSE_GRACE_S: Final = 1.6
 # What told of an entry, in log lines, where it was no other host.
 LISTED: Final = "list"
 WATCHED: Final = "watch"
@@ -43,12 +41,16 @@
     if event.revision < registry.revision:
         return
     listed = {server.name: server for server in event.servers}
-    changed = [s for s in event.servers if registry.servers.get(s.name) != s]
+    changed = [
+        s
+        for s in event.servers
+        if registry.servers.get(s.name) != s or s.name in registry.lapsed
+    ]
     missing = [name for name in registry.servers if name not in listed]
-    missing = _hold_lapsed(state, missing, event.now, out)
-    _take(state, event.revision, changed, missing, event.now, out, told_by=LISTED)
-    servers = tuple(registry.servers.values())
-    _pass_on(state, registry.revision, servers, (), out, is_whole=True)
+    gone = hold_lapsed(state, missing, event.now, out)
+    base = registry.revision
+    _take(state, event.revision, changed, gone, event.now, out, told_by=LISTED)
+    _pass_on(state, base, changed, gone, event.now, out)
 
 
 def take_changed(state: HostState, event: ServersChanged, out: list[Effect]) -> None:
@@ -57,9 +59,9 @@
     base = registry.revision
     if event.revision <= base:
         return
-    gone = _hold_lapsed(state, event.gone, event.now, out)
+    gone = hold_lapsed(state, event.gone, event.now, out)
     _take(state, event.revision, event.servers, gone, event.now, out, told_by=WATCHED)
-    _pass_on(state, base, event.servers, tuple(gone), out, is_whole=False)
+    _pass_on(state, base, event.servers, gone, event.now, out)
 
 
 def take_servers_notice(
@@ -69,19 +71,27 @@
     now: float,
     out: list[Effect],
 ) -> None:
-    """Take in what a relay or a peer told; ask for all of it after a gap."""
+    """Take in what a relay or a peer told; ask for all of it after a gap.
+
+    So too where other entries are known here than there, as each may have missed
+    some that came and went.
+    """
     registry = state.registry
-    is_drop = notice.base == notice.revision == registry.revision
-    if notice.revision <= registry.revision and not is_drop:
+    is_news = notice.revision > registry.revision
+    if not is_news and not (notice.is_whole and notice.revision == registry.revision):
         return
     if not notice.is_whole and notice.base > registry.revision:
         request_servers(state, sender, out)
         return
     gone: Iterable[str] = notice.gone
     if notice.is_whole:
-        listed = {server.name for server in notice.servers}
-        gone = [name for name in registry.servers if name not in listed]
+        kept = {server.name for server in notice.servers}
+        kept.update(entry.name for entry in notice.held)
+        gone = [name for name in registry.servers if name not in kept]
+    take_held(state, notice.held, now, out)
     _take(state, notice.revision, notice.servers, gone, now, out, told_by=sender)
+    if not notice.is_whole and notice.names != hash_names(registry):
+        request_servers(state, sender, out)
 
 
 def note_leaving(state: HostState, name: str, now: float, out: list[Effect]) -> None:
@@ -117,19 +127,22 @@
 
 
 def answer_servers_request(
-    state: HostState, request: ServersRequest, out: list[Effect]
+    state: HostState, request: ServersRequest, now: float, out: list[Effect]
 ) -> None:
     """Tell a peer the whole registry."""
     member = state.members.get(request.host)
     registry = state.registry
     if member is None or registry.revision == 0:
         return
+    held = registry.lapsed
     notice = ServersNotice(
         base=0,
         revision=registry.revision,
-        servers=tuple(registry.servers.values()),
+        servers=tuple(s for s in registry.servers.values() if s.name not in held),
         gone=(),
         is_whole=True,
+        names=hash_names(registry),
+        held=list_held(state, now),
     )
     out.append(SendMessage(host=member.name, address=member.peers, message=notice))
 
@@ -168,49 +181,19 @@
 
 def drop_lapsed(state: HostState, now: float, out: list[Effect]) -> None:
     """Drop the servers that lapsed around an outage and did not come back."""
-    registry = state.registry
-    due = [name for name, at in registry.lapsed.items() if at <= now]
-    for name in due:
-        del registry.lapsed[name]
-    gone = tuple(name for name in due if name in registry.servers)
-    if not gone:
-        return
-    _take(state, registry.revision, (), gone, now, out, told_by=HOLD_ENDED)
-    base = registry.revision
-    _pass_on(state, base, (), gone, out, is_whole=False)
+    gone = end_due_holds(state, now)
+    if gone:
+        revision = state.registry.revision
+        _take(state, revision, (), gone, now, out, told_by=HOLD_ENDED)
 
 
-def _hold_lapsed(
-    state: HostState, gone: Iterable[str], now: float, out: list[Effect]
-) -> list[str]:
-    """Return those of the entries gone that are not held for a while.
-
-    Entries lapse while the platform is away; servers that live write them again
-    soon after its return.
-    """
-    relay = state.relay
-    is_after_outage = now - relay.regained_at <= LAPSE_GRACE_S
-    if relay.lost_at is None and not is_after_outage:
-        return list(gone)
-    returned_at = now if relay.lost_at is not None else relay.regained_at
-    at = returned_at + LAPSE_GRACE_S
-    lapsed = state.registry.lapsed
-    dropped = []
-    for name in gone:
-        server = state.registry.servers.get(name)
-        if server is None or server.is_draining:
-            dropped.append(name)
-        elif name not in lapsed:
-            lapsed[name] = at
-            fields: dict[str, object] = {
-                "service": server.service,
-                "server": name,
-                "for_s": round(at - now, 3),
-            }
-            out.append(LogDecision(event="held", fields=fields))
-    if lapsed:
-        out.append(SetTimer(timer=LapseDue(), at=min(lapsed.values()) + 0.01))
-    return dropped
+def hash_names(registry: RegistryState) -> int:
+    """Return a number that is equal where the same entries stand at the platform."""
+    result = 0
+    for name in registry.servers:
+        if name not in registry.lapsed:
+            result ^= xxhash.xxh3_64_intdigest(name.encode())
+    return result
 
 
 def _take(
@@ -230,6 +213,7 @@
     changed = [s for s in servers if registry.servers.get(s.name) != s]
     clear_marks(state, changed, revision, now)
     for name in gone:
+        registry.lapsed.pop(name, None)
         old = registry.servers.pop(name, None)
         if old is not None:
             touched.add(old.service)
@@ -253,19 +237,21 @@
 def _pass_on(
     state: HostState,
     base: int,
-    servers: tuple[RegisteredServer, ...],
-    gone: tuple[str, ...],
+    servers: Iterable[RegisteredServer],
+    gone: Iterable[str],
+    now: float,
     out: list[Effect],
-    *,
-    is_whole: bool,
 ) -> None:
     """Tell the hosts of the failure domain what the platform told this one."""
+    registry = state.registry
     notice = ServersNotice(
         base=base,
-        revision=state.registry.revision,
-        servers=servers,
-        gone=gone,
-        is_whole=is_whole,
+        revision=registry.revision,
+        servers=tuple(servers),
+        gone=tuple(gone),
+        is_whole=False,
+        names=hash_names(registry),
+        held=list_held(state, now),
     )
     tell_domain(state, notice, out)
 
--- a/src/siskinpier/core/cluster/relays.py
+++ b/src/siskinpier/core/cluster/relays.py
@@ -95,6 +95,7 @@
             state.relay.heard_at = min(state.relay.heard_at, heard_at)
             step_relay(state, now, out)
         return
+    _note_answered(state, now)
     if not state.watching or word.rank < rank:
         state.relay.heard_at = now
     if word.servers_revision > state.registry.revision:
@@ -127,8 +128,10 @@
     if relay.lost_at is not None:
         fields: dict[str, object] = {"after_s": round(event.now - relay.lost_at, 3)}
         out.append(LogDecision(event="platform-regained", fields=fields))
+        # The platform was back when it answered the first host of this domain.
+        was_answered = relay.others_answered_at > relay.lost_at
+        relay.regained_at = relay.others_answered_at if was_answered else event.now
         relay.lost_at = None
-        relay.regained_at = event.now
         state.platform_fault = ""
     if state.watching and not was_confirmed:
         # Keeps further hosts from beginning to watch.
@@ -136,6 +139,13 @@
         tell_domain(state, _make_word(state, rank), out)
 
 
+def _note_answered(state: HostState, now: float) -> None:
+    """Note that the platform answers another host while it leaves this one without."""
+    relay = state.relay
+    if relay.lost_at is not None and relay.others_answered_at <= relay.lost_at:
+        relay.others_answered_at = now
+
+
 def pass_on_intents(state: HostState, out: list[Effect]) -> None:
     """Tell the failure domain of routing intents that this host's watch brought."""
     if not state.watching or state.intents_version is None:
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -140,15 +140,29 @@
     started: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldEntry:
+    """An entry that went around an outage, and is kept for `for_s` more seconds."""
+
+    name: str
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServersNotice:
-    """Changes of the registry after revision `base`, or all of it."""
+    """Changes of the registry after revision `base`, or all of it.
+
+    `names` is a hash of the names of all entries. Those that are `held` are no
+    entries any more.
+    """
 
     base: int
     revision: int
     servers: tuple[RegisteredServer, ...]
     gone: tuple[str, ...]
     is_whole: bool
+    names: int = 0
+    held: tuple[HeldEntry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -295,6 +295,6 @@
             take_servers_notice(state, message, event.sender, event.now, out)
             check_readiness(state, event.now, out)
         case ServersRequest() as message:
-            answer_servers_request(state, message, out)
+            answer_servers_request(state, message, event.now, out)
         case RelayWord() as message:
             take_word(state, message, event.now, out)
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -171,13 +171,15 @@
     """What is known of the watches of the platform, here and at the relay.
 
     Times are those of the last confirmed watch here, of the last word from a
-    relay, and of the end of the last outage.
+    relay, and of the end of the last outage; `others_answered_at` is the time of the
+    first word of another relay in an outage here.
     """
 
     confirmed_at: float = 0.0
     heard_at: float = 0.0
     lost_at: float | None = None
     regained_at: float = 0.0
+    others_answered_at: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -42,6 +42,18 @@
     return sorted(world.states[host].registry.servers)
 
 
+def hold_first_server(world: SlotWorld) -> str:
+    """Let the first server's entry lapse in an outage; return the relay."""
+    relay = find_relay(world)
+    world.handle(relay, PlatformLost(now=world.now, reason="down"))
+    world.run_for(0.1)
+    world.handle(relay, PlatformReached(now=world.now))
+    world.list_servers(relay, world.register()[1:], 9)
+    world.run_for(0.5)
+    assert all(list_known(world, host) == ["s0", "s1"] for host in HOSTS)
+    return relay
+
+
 class TestRelays:
     """One host of a failure domain watches; another follows where it falls silent."""
 
@@ -155,6 +167,33 @@
         assert list_known(world, other) == ["s1"]
 
 
+class TestLists:
+    """A relay that lists anew tells what changed, not all that there is."""
+
+    def test_nothing_changed(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        told: list[ServersNotice] = []
+        world.drop = lambda a, b, m: isinstance(m, ServersNotice) and bool(
+            told.append(m)  # type: ignore[func-returns-value]
+        )
+        world.list_servers(relay, world.register(), 9)
+        assert len(told) == len(HOSTS) - 1
+        assert not any(notice.servers for notice in told)
+
+    def test_server_that_only_another_host_heard_of(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        other = next(host for host in HOSTS if host != relay)
+        heard = (replace(world.register()[0], name="s9"),)
+        event = ServersChanged(now=world.now, revision=5, servers=heard, gone=())
+        reduce(world.states[other], event)
+        # The server came and went before the relay listed.
+        world.list_servers(relay, world.register(), 9)
+        world.run_for(0.1)
+        assert list_known(world, other) == ["s0", "s1"]
+
+
 class TestLapse:
     """Entries that lapse around an outage are kept until servers could come back."""
 
@@ -182,6 +221,66 @@
         world.run_for(0.2)
         assert all(list_known(world, host) == ["s1"] for host in HOSTS)
 
+    def test_server_that_went_is_not_put_back_by_a_relay_that_was_turned_away(
+        self,
+    ) -> None:
+        # The store answered others of its failure domain meanwhile.
+        world = make_world()
+        relay = find_relay(world)
+        world.turned_away = {relay}
+        world.handle(relay, PlatformLost(now=world.now, reason="reset"))
+        world.run_for(0.1)
+        substitute = next(
+            name for name, s in world.states.items() if s.watching and name != relay
+        )
+        world.drop = lambda a, b, m: b == relay
+        world.list_servers(substitute, world.register()[1:], 9)
+        world.run_for(0.5)
+        world.drop = lambda a, b, m: False
+        world.turned_away = set()
+        world.handle(relay, PlatformReached(now=world.now))
+        world.list_servers(relay, world.register()[1:], 12)
+        world.run_for(0.1)
+        others = [host for host in HOSTS if host != relay]
+        assert [list_known(world, host) for host in others] == [["s1"], ["s1"]]
+
+    def test_outage_of_one_host_is_none_of_its_failure_domain(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        world.turned_away = {relay}
+        world.handle(relay, PlatformLost(now=world.now, reason="reset"))
+        world.run_for(2.0)
+        world.turned_away = set()
+        world.handle(relay, PlatformReached(now=world.now))
+        world.list_servers(relay, world.register()[1:], 9)
+        world.run_for(0.1)
+        assert all(list_known(world, host) == ["s1"] for host in HOSTS)
+
+    def test_end_of_a_hold_where_later_news_was_heard(self) -> None:
+        world = make_world()
+        relay = hold_first_server(world)
+        other = next(host for host in HOSTS if host != relay)
+        later = (replace(world.register()[1], slots=5),)
+        event = ServersChanged(now=world.now, revision=12, servers=later, gone=())
+        reduce(world.states[other], event)
+        world.run_for(3.0)
+        assert all(list_known(world, host) == ["s1"] for host in HOSTS)
+
+    def test_end_of_a_hold_whose_relay_died(self) -> None:
+        world = make_world()
+        relay = hold_first_server(world)
+        world.dead.add(relay)
+        world.run_for(3.0)
+        others = [host for host in HOSTS if host != relay]
+        assert [list_known(world, host) for host in others] == [["s1"], ["s1"]]
+
+    def test_server_that_is_listed_again_stays(self) -> None:
+        world = make_world()
+        relay = hold_first_server(world)
+        world.list_servers(relay, world.register(), 12)
+        world.run_for(4.0)
+        assert all(list_known(world, host) == ["s0", "s1"] for host in HOSTS)
+
     def test_server_that_comes_back_stays(self) -> None:
         world = make_world()
         relay = find_relay(world)
