Pass over an entry that its server wrote before the one that is known

A write whose answer was lost may be done by the store seconds later. A server's earlier word that it is ready, done after its word that it leaves, put it back into use at all hosts: what tells the two apart, the sequence of a server's writes, was not read at all, and the start of its life only for marks.

Entries are ordered by life, then by sequence; an older one changes nothing and is logged. Both cases of TestOlderEntries failed before.

--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -187,6 +187,29 @@
         _take(state, revision, (), gone, now, out, told_by=HOLD_ENDED)
 
 
+def _drop_older(
+    state: HostState, servers: Iterable[RegisteredServer], out: list[Effect]
+) -> list[RegisteredServer]:
+    """Return entries but for those that their servers wrote before what is known.
+
+    A write whose answer was lost may be done seconds later.
+    """
+    newer = []
+    for server in servers:
+        known = state.registry.servers.get(server.name)
+        if known is None or not server.is_older(known):
+            newer.append(server)
+            continue
+        fields: dict[str, object] = {
+            "service": server.service,
+            "server": server.name,
+            "sequence": server.sequence,
+            "known": known.sequence,
+        }
+        out.append(LogDecision(event="entry-older", fields=fields))
+    return newer
+
+
 def hash_names(registry: RegistryState) -> int:
     """Return a number that is equal where the same entries stand at the platform."""
     result = 0
@@ -208,7 +231,7 @@
 ) -> None:
     """Take in entries; `told_by` names the host or the way they came by."""
     registry = state.registry
-    servers = tuple(servers)
+    servers = _drop_older(state, servers, out)
     touched: set[str] = set()
     changed = [s for s in servers if registry.servers.get(s.name) != s]
     clear_marks(state, changed, revision, now)
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -1,6 +1,6 @@
 """Messages between entry hosts, as data; `edge.codec` turns them into CBOR."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
 from .claims.messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
@@ -126,8 +126,9 @@
 class RegisteredServer:
     """A backend server as it registered itself with the platform.
 
-    `started` tells its lives apart, in milliseconds since the epoch. It is slow
-    for another `warmup_left_s` seconds.
+    `started` tells its lives apart, in milliseconds since the epoch, and `sequence`
+    what it wrote in one of them; 0 stands for none told. It is slow for another
+    `warmup_left_s` seconds.
     """
 
     name: str
@@ -138,6 +139,13 @@
     is_draining: bool = False
     warmup_left_s: float = 0.0
     started: int = 0
+    sequence: int = field(default=0, compare=False)
+
+    def is_older(self, other: "RegisteredServer") -> bool:
+        """Return True if the server wrote this before it wrote the other."""
+        if self.started != other.started:
+            return 0 < self.started < other.started
+        return 0 < self.sequence < other.sequence
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -35,6 +35,7 @@
 class _Status(Struct, frozen=True, kw_only=True):
     state: Literal["ready", "draining"]
     warmup: Seconds = field(name="warmupLeftS", default=0.0)
+    sequence: Annotated[int, Meta(ge=0)] = 0
 
 
 class _Entry(Struct, frozen=True, kw_only=True):
@@ -71,6 +72,7 @@
         is_draining=entry.status.state == "draining",
         warmup_left_s=entry.status.warmup,
         started=entry.born,
+        sequence=entry.status.sequence,
     )
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -167,6 +167,48 @@
         assert list_known(world, other) == ["s1"]
 
 
+class TestOlderEntries:
+    """What a server wrote earlier, and the platform did later, counts for nothing."""
+
+    @pytest.mark.parametrize(
+        ("older", "newer"),
+        [
+            ({"started": 7, "sequence": 4}, {"started": 7, "sequence": 5}),
+            ({"started": 6, "sequence": 9}, {"started": 7, "sequence": 1}),
+        ],
+    )
+    def test_late_write_does_not_end_a_leave(
+        self, older: dict[str, int], newer: dict[str, int]
+    ) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        entry = world.register()[0]
+        leaving = replace(entry, is_draining=True, **newer)
+        late = replace(entry, **older)
+        for revision, server in ((5, leaving), (6, late)):
+            event = ServersChanged(
+                now=world.now, revision=revision, servers=(server,), gone=()
+            )
+            world.handle(relay, event)
+        world.run_for(0.1)
+        for host in HOSTS:
+            assert world.states[host].registry.servers["s0"].is_draining
+        world.list_servers(relay, [late, world.register()[1]], 7)
+        assert world.states[relay].registry.servers["s0"].is_draining
+
+    def test_later_write_of_the_same_life_counts(self) -> None:
+        world = make_world()
+        relay = find_relay(world)
+        entry = replace(world.register()[0], started=7)
+        for revision, is_draining in ((5, True), (6, False)):
+            server = replace(entry, is_draining=is_draining, sequence=revision)
+            event = ServersChanged(
+                now=world.now, revision=revision, servers=(server,), gone=()
+            )
+            world.handle(relay, event)
+        assert not world.states[relay].registry.servers["s0"].is_draining
+
+
 class TestLists:
     """A relay that lists anew tells what changed, not all that there is."""
 
