--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -24,7 +24,7 @@
 
 SERVICES: Final = ("films", "sounds", "rights")
 FAILURE_DOMAINS: Final = ("z1", "z2")
-READY_WITHIN_S: Final = 60.0
+READY_WITHIN_S: Final = 300.0
 READY_POLL_S: Final = 0.1
 SLOTS: Final = 2
 WORK_MS: Final = 60.0
