Follow the store into a new era when it comes back from an older copy

What the code did: nothing read the header; a watch went on from the higher of two revisions and so hid changes whose revisions were given out again; a relay's newer words counted as old; a host wrote its own object once and never again; a server that was gone came back with the copy.

A position is era and revision, in every event and message that had a revision. An answer of an earlier era tells nothing; a rise lists anew, holds what the copy lacks, waits with what only the copy has until its server writes, and has each host read and write its own object within 1.5 s (two calls). Logs: era, store-era, entry-departed, written-again.

--- a/src/siskinpier/core/cluster/heartbeats.py
+++ b/src/siskinpier/core/cluster/heartbeats.py
@@ -169,7 +169,7 @@
         spare=_make_spare(state, now),
         digest=make_digest(state, now),
         up_to_date=_sample_up_to_date(state),
-        servers_revision=state.registry.revision,
+        servers_position=state.registry.position,
         strength=own.strength,
     )
 
--- a/src/siskinpier/core/cluster/leaving_marks.py
+++ b/src/siskinpier/core/cluster/leaving_marks.py
@@ -11,6 +11,7 @@
 
 from ..effects import Effect, LogDecision, SendMessage
 from ..messages import RegisteredServer, ServerNotice
+from ..positions import StorePosition
 from ..state import HostState, LeavingMark
 from .broadcast import tell_domain
 from .members import Member, is_live
@@ -46,7 +47,7 @@
         return False
     _forget_old(state, now)
     registry.leaving[name] = LeavingMark(
-        started=started, revision=registry.revision, at=now
+        started=started, position=registry.position, at=now
     )
     fields: dict[str, object] = {
         "service": entry.service,
@@ -63,7 +64,7 @@
 def clear_marks(
     state: HostState,
     servers: Iterable[RegisteredServer],
-    revision: int,
+    position: StorePosition,
     now: float,
 ) -> None:
     """Drop the marks that changed entries of the registry outlive."""
@@ -72,7 +73,7 @@
         mark = marks.get(server.name)
         if mark is None:
             continue
-        is_later = revision > mark.revision and now - mark.at >= SETTLED_S
+        is_later = position > mark.position and now - mark.at >= SETTLED_S
         is_ready_again = is_later and not server.is_draining
         if server.started != mark.started or is_ready_again:
             del marks[server.name]
--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -20,9 +20,11 @@
     ServersNotice,
     ServersRequest,
 )
+from ..positions import StorePosition
 from ..routing.dispatch import drain_queue, place_stranded
 from ..state import HostState, RegistryState
 from .broadcast import tell_domain
+from .eras import begin_era, drop_departed, note_departed
 from .lapses import end_due_holds, hold_lapsed, list_held, take_held
 from .leaving_marks import HeardFrom, clear_marks, mark_leaving
 from .views import get_live_hosts, make_service, place
@@ -38,30 +40,33 @@
 def take_listed(state: HostState, event: ServersListed, out: list[Effect]) -> None:
     """Take in the whole registry as the platform listed it."""
     registry = state.registry
-    if event.revision < registry.revision:
+    if event.position < registry.position:
         return
-    listed = {server.name: server for server in event.servers}
+    begin_era(state, event.position, event.now, out)
+    servers = drop_departed(state, event.servers, event.position, out, is_change=False)
+    listed = {server.name for server in servers}
     changed = [
         s
-        for s in event.servers
+        for s in servers
         if registry.servers.get(s.name) != s or s.name in registry.lapsed
     ]
     missing = [name for name in registry.servers if name not in listed]
     gone = hold_lapsed(state, missing, event.now, out)
-    base = registry.revision
-    _take(state, event.revision, changed, gone, event.now, out, told_by=LISTED)
+    base = registry.position
+    _take(state, event.position, changed, gone, event.now, out, told_by=LISTED)
     _pass_on(state, base, changed, gone, event.now, out)
 
 
 def take_changed(state: HostState, event: ServersChanged, out: list[Effect]) -> None:
     """Take in changes after the revision that is known here."""
     registry = state.registry
-    base = registry.revision
-    if event.revision <= base:
+    base = registry.position
+    if event.position <= base:
         return
+    servers = drop_departed(state, event.servers, event.position, out, is_change=True)
     gone = hold_lapsed(state, event.gone, event.now, out)
-    _take(state, event.revision, event.servers, gone, event.now, out, told_by=WATCHED)
-    _pass_on(state, base, event.servers, gone, event.now, out)
+    _take(state, event.position, servers, gone, event.now, out, told_by=WATCHED)
+    _pass_on(state, base, servers, gone, event.now, out)
 
 
 def take_servers_notice(
@@ -77,10 +82,10 @@
     some that came and went.
     """
     registry = state.registry
-    is_news = notice.revision > registry.revision
-    if not is_news and not (notice.is_whole and notice.revision == registry.revision):
+    is_news = notice.position > registry.position
+    if not is_news and not (notice.is_whole and notice.position == registry.position):
         return
-    if not notice.is_whole and notice.base > registry.revision:
+    if not notice.is_whole and notice.base > registry.position:
         request_servers(state, sender, out)
         return
     gone: Iterable[str] = notice.gone
@@ -89,7 +94,7 @@
         kept.update(entry.name for entry in notice.held)
         gone = [name for name in registry.servers if name not in kept]
     take_held(state, notice.held, now, out)
-    _take(state, notice.revision, notice.servers, gone, now, out, told_by=sender)
+    _take(state, notice.position, notice.servers, gone, now, out, told_by=sender)
     if not notice.is_whole and notice.names != hash_names(registry):
         request_servers(state, sender, out)
 
@@ -132,12 +137,12 @@
     """Tell a peer the whole registry."""
     member = state.members.get(request.host)
     registry = state.registry
-    if member is None or registry.revision == 0:
+    if member is None or registry.position.revision == 0:
         return
     held = registry.lapsed
     notice = ServersNotice(
-        base=0,
-        revision=registry.revision,
+        base=StorePosition(),
+        position=registry.position,
         servers=tuple(s for s in registry.servers.values() if s.name not in held),
         gone=(),
         is_whole=True,
@@ -183,8 +188,8 @@
     """Drop the servers that lapsed around an outage and did not come back."""
     gone = end_due_holds(state, now)
     if gone:
-        revision = state.registry.revision
-        _take(state, revision, (), gone, now, out, told_by=HOLD_ENDED)
+        position = state.registry.position
+        _take(state, position, (), gone, now, out, told_by=HOLD_ENDED)
 
 
 def _drop_older(
@@ -221,7 +226,7 @@
 
 def _take(
     state: HostState,
-    revision: int,
+    position: StorePosition,
     servers: Iterable[RegisteredServer],
     gone: Iterable[str],
     now: float,
@@ -234,16 +239,18 @@
     servers = _drop_older(state, servers, out)
     touched: set[str] = set()
     changed = [s for s in servers if registry.servers.get(s.name) != s]
-    clear_marks(state, changed, revision, now)
+    clear_marks(state, changed, position, now)
     for name in gone:
         registry.lapsed.pop(name, None)
         old = registry.servers.pop(name, None)
         if old is not None:
             touched.add(old.service)
-            _log_server("gone", old, revision, told_by, out)
+            note_departed(state, old, now)
+            _log_server("gone", old, position, told_by, out)
     for server in servers:
         old = registry.servers.get(server.name)
         registry.lapsed.pop(server.name, None)
+        registry.departed.pop(server.name, None)
         if old == server:
             continue
         registry.servers[server.name] = server
@@ -252,14 +259,14 @@
             touched.add(old.service)
         if old is None or old.is_draining != server.is_draining:
             standing = "draining" if server.is_draining else "ready"
-            _log_server(standing, server, revision, told_by, out)
-    registry.revision = revision
+            _log_server(standing, server, position, told_by, out)
+    registry.position = position
     refresh_services(state, touched, now, out)
 
 
 def _pass_on(
     state: HostState,
-    base: int,
+    base: StorePosition,
     servers: Iterable[RegisteredServer],
     gone: Iterable[str],
     now: float,
@@ -269,7 +276,7 @@
     registry = state.registry
     notice = ServersNotice(
         base=base,
-        revision=registry.revision,
+        position=registry.position,
         servers=tuple(servers),
         gone=tuple(gone),
         is_whole=False,
@@ -295,7 +302,7 @@
 def _log_server(
     standing: str,
     server: RegisteredServer,
-    revision: int,
+    position: StorePosition,
     told_by: str,
     out: list[Effect],
 ) -> None:
@@ -304,7 +311,8 @@
         "service": server.service,
         "server": server.name,
         "address": server.address,
-        "revision": revision,
+        "era": position.era,
+        "revision": position.revision,
         "told_by": told_by,
     }
     out.append(LogDecision(event="registered", fields=fields))
--- a/src/siskinpier/core/cluster/relays.py
+++ b/src/siskinpier/core/cluster/relays.py
@@ -98,7 +98,7 @@
     _note_answered(state, now)
     if not state.watching or word.rank < rank:
         state.relay.heard_at = now
-    if word.servers_revision > state.registry.revision:
+    if word.servers_position > state.registry.position:
         request_servers(state, word.host, out)
     if word.intents_revision > state.intents.revision:
         request = IntentsRequest(
@@ -160,7 +160,7 @@
         rank=rank,
         is_lost=is_lost,
         intents_revision=state.intents.revision,
-        servers_revision=state.registry.revision,
+        servers_position=state.registry.position,
     )
 
 
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -10,6 +10,7 @@
 from .configuration.orders import Order
 from .messages import Message, RegisteredServer
 from .platform_results import ReadResult, WriteResult
+from .positions import StorePosition
 from .routing.calls import Call, LoadReport
 from .timers import Timer
 from .verdict import AttemptFailure, Verdict
@@ -158,19 +159,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServersListed:
-    """The whole registry of backend servers, at a revision of the platform."""
+    """The whole registry of backend servers, at a position of the platform."""
 
     now: float
-    revision: int
+    position: StorePosition
     servers: tuple[RegisteredServer, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServersChanged:
-    """What changed in the registry up to a revision; `gone` are names."""
+    """What changed in the registry up to a position; `gone` are names."""
 
     now: float
-    revision: int
+    position: StorePosition
     servers: tuple[RegisteredServer, ...]
     gone: tuple[str, ...]
 
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -5,6 +5,7 @@
 
 from .claims.messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
 from .configuration.intents import RoutingIntents
+from .positions import StorePosition
 from .routing.calls import LoadReport
 
 
@@ -30,7 +31,7 @@
     spare: tuple[tuple[str, int], ...] = ()
     digest: int = 0
     up_to_date: tuple[str, ...] = ()
-    servers_revision: int = 0
+    servers_position: StorePosition = StorePosition()
     strength: float = 1.0
 
 
@@ -158,14 +159,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServersNotice:
-    """Changes of the registry after revision `base`, or all of it.
+    """Changes of the registry after position `base`, or all of it.
 
     `names` is a hash of the names of all entries. Those that are `held` are no
     entries any more.
     """
 
-    base: int
-    revision: int
+    base: StorePosition
+    position: StorePosition
     servers: tuple[RegisteredServer, ...]
     gone: tuple[str, ...]
     is_whole: bool
@@ -191,7 +192,7 @@
     rank: int
     is_lost: bool
     intents_revision: int
-    servers_revision: int
+    servers_position: StorePosition
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -14,6 +14,7 @@
 from .configuration.orders import Order
 from .language.explain import DecisionHistory
 from .messages import RegisteredServer
+from .positions import StorePosition
 from .routing.balance import ServerRuntime
 from .routing.budgets import RateMeter, TokenBucket
 from .routing.calls import ActiveCall
@@ -143,25 +144,40 @@
 class LeavingMark:
     """A life of a registered server said that it leaves.
 
-    `revision` is that of the registry when it was heard, `at` the time.
+    `position` is that of the registry when it was heard, `at` the time.
     """
 
     started: int
-    revision: int
+    position: StorePosition
     at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Departed:
+    """The last entry of a server that is gone, the era it went in, and the time.
+
+    With `is_back` an older copy of the store has the entry again, as it is here.
+    """
+
+    entry: RegisteredServer
+    era: int
+    at: float
+    is_back: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class RegistryState:
-    """The backend servers that registered, at a revision of the platform.
+    """The backend servers that registered, at a position of the platform.
 
     `lapsed` are servers that disappeared around an outage, with the times at
     which they are dropped unless they come back.
     """
 
-    revision: int = 0
+    position: StorePosition = StorePosition()
     servers: dict[str, RegisteredServer] = field(default_factory=dict)
     lapsed: dict[str, float] = field(default_factory=dict)
+    # Servers that went lately, by name.
+    departed: dict[str, Departed] = field(default_factory=dict)
     # Servers that said in an answer that they leave, by name.
     leaving: dict[str, LeavingMark] = field(default_factory=dict)
 
--- a/src/siskinpier/platform/relay.py
+++ b/src/siskinpier/platform/relay.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from math import inf
 from typing import Any, Final
 
 import anyio
@@ -17,6 +18,7 @@
 )
 from ..core.messages import RegisteredServer
 from ..core.platform_results import Conflicted, Stored, Unavailable, Written
+from ..core.positions import StorePosition
 from ..edge.shell import Shell
 from ..logs import log_event, log_warning
 from .configuration import Configuration, apply_limits, decode_configuration
@@ -43,6 +45,13 @@
 HOSTS_POLL_S: Final = 20.0
 # The same for a host that has heard no other yet, as lists may lag.
 HOSTS_POLL_ALONE_S: Final = 1.0
+# How often a host looks whether the era of the store rose, and the time over which
+# the hosts spread their calls after it, seconds.
+ERA_CHECK_S: Final = 0.5
+ERA_SPREAD_S: Final = 1.0
+# After this long in an era each server that lives has written, seconds: three of
+# their heartbeats.
+ERA_SETTLED_S: Final = 5.0
 # Faults of one version of the configuration that are logged each by itself.
 FAULTS_LOGGED: Final = 20
 
@@ -58,6 +67,7 @@
         self._settings = settings
         self._unreadable: dict[str, str] = {}
         self._noted_revision = 0
+        store.note_era = self._note_era
 
     async def run(self) -> None:
         """Watch whenever the core wants it, until cancelled."""
@@ -74,11 +84,23 @@
                 await shell.watch_changed.wait()
                 tasks.cancel_scope.cancel()
 
+    def _note_era(self, era: int) -> None:
+        """List and watch anew: what was known of the store's history is void."""
+        log_event("store-era", era=era, known=self._shell.state.registry.position.era)
+        self._shell.watch_changed.set()
+
     async def register(self) -> None:
-        """Write this host's own object, and read those of the others."""
+        """Write this host's own object, and read those of the others.
+
+        What was written in an earlier era of the store may be gone from it.
+        """
         own = encode_host(self._settings)
         is_written = False
+        era: int | None = None
         while True:
+            if era is not None and self._get_era() > era:
+                era = self._get_era()
+                await self._repeat_until_done(self._write_again)
             listed = await self._store.list_all(HOSTS_KIND, may_be_stale=True)
             if isinstance(listed, Unavailable):
                 await anyio.sleep(RETRY_LONGEST_S * random.uniform(0.5, 1.0))
@@ -91,13 +113,37 @@
             if not is_written and specs.get(self._settings.name) != own:
                 await self._repeat_until_done(self._write_own)
             is_written = True
+            era = self._get_era() if era is None else era
             delay_s = HOSTS_POLL_ALONE_S if self._is_alone() else HOSTS_POLL_S
-            await anyio.sleep(delay_s * random.uniform(0.8, 1.2))
+            await self._sleep_in_era(era, delay_s * random.uniform(0.8, 1.2))
+
+    def _get_era(self) -> int:
+        """Return the latest era of the store that this host or its relay heard of."""
+        return max(self._store.era, self._shell.state.registry.position.era)
+
+    async def _sleep_in_era(self, era: int, delay_s: float) -> None:
+        """Sleep; wake soon where the era rises, not all hosts at once."""
+        until = self._shell.clock() + delay_s
+        while (left_s := until - self._shell.clock()) > 0.0:
+            if self._get_era() > era:
+                await anyio.sleep(ERA_SPREAD_S * random.random())
+                return
+            await anyio.sleep(min(left_s, ERA_CHECK_S))
 
     def _is_alone(self) -> bool:
         members = self._shell.state.members.values()
         return all(member.last_heard is None for member in members)
 
+    async def _write_again(self) -> bool:
+        """Write the own object where the store lost it; return False to try again."""
+        held = await self._store.read_object(kind=HOSTS_KIND, name=self._settings.name)
+        if isinstance(held, Stored) and held.spec == encode_host(self._settings):
+            return True
+        if isinstance(held, Unavailable):
+            return False
+        log_event("written-again", kind=HOSTS_KIND, era=self._store.era)
+        return await self._write_own()
+
     async def _write_own(self) -> bool:
         store, name = self._store, self._settings.name
         spec = encode_host(self._settings)
@@ -148,41 +194,61 @@
             for item in listed.items:
                 self._take_configuration(item)
             fault = await self._watch(
-                CONFIGURATION_KIND, listed.revision, self._take_configuration_changes
+                CONFIGURATION_KIND, listed.position, self._take_configuration_changes
             )
             if fault is not None:
                 return fault
 
     async def _follow_servers(self) -> Unavailable:
-        """List the servers, then watch them; return what ended that."""
+        """List the servers, then watch them; return what ended that.
+
+        In a new era they are listed again later, when those that live have written.
+        """
         while True:
+            known_era = self._shell.state.registry.position.era
             listed = await self._store.list_all(SERVERS_KIND)
             if isinstance(listed, Unavailable):
                 return listed
             self._confirm()
             self._take_servers(listed)
+            is_new_era = listed.position.era > known_era
             fault = await self._watch(
-                SERVERS_KIND, listed.revision, self._take_server_changes
+                SERVERS_KIND,
+                listed.position,
+                self._take_server_changes,
+                for_s=ERA_SETTLED_S if is_new_era else inf,
             )
             if fault is not None:
                 return fault
 
     async def _watch(
-        self, kind: str, revision: int, take: Callable[[ChangeList], None]
+        self,
+        kind: str,
+        since: StorePosition,
+        take: Callable[[ChangeList], None],
+        *,
+        for_s: float = inf,
     ) -> Unavailable | None:
-        """Watch from a revision on; return None when its history is gone."""
-        while True:
-            result = await self._store.watch(kind, revision=revision, wait_s=WATCH_S)
+        """Watch from a position on; return None when its history is gone, or in time.
+
+        It lasts for `for_s` seconds at most.
+        """
+        until = self._shell.clock() + for_s
+        while (left_s := until - self._shell.clock()) > 0.0:
+            result = await self._store.watch(
+                kind, since=since, wait_s=min(WATCH_S, left_s)
+            )
             if isinstance(result, HistoryLost):
-                log_event("history-lost", kind=kind, revision=revision)
+                log_event("history-lost", kind=kind, revision=since.revision)
                 return None
             if isinstance(result, Unavailable):
                 return result
             self._confirm()
-            revision = max(revision, result.revision)
+            since = max(since, result.position)
             if result.changes:
                 take(result)
                 await anyio.sleep(GATHER_S)
+        return None
 
     async def _check_silence(self) -> None:
         """Notice a store that leaves this host without answers.
@@ -234,7 +300,7 @@
         shell.handle(
             ServersListed(
                 now=shell.clock(),
-                revision=listed.revision,
+                position=listed.position,
                 servers=tuple(s for s in servers if s is not None),
             )
         )
@@ -253,7 +319,7 @@
         shell.handle(
             ServersChanged(
                 now=shell.clock(),
-                revision=result.revision,
+                position=result.position,
                 servers=tuple(servers),
                 gone=tuple(gone),
             )
--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -6,6 +6,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Final
@@ -23,6 +24,7 @@
     WriteResult,
     Written,
 )
+from ..core.positions import StorePosition
 from ..edge.streams import make_stream_socket
 
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -30,6 +32,13 @@
 # How much later than asked a watch's answer may come.
 WATCH_GRACE_S: Final = 1.0
 LONGEST_LIST_PAGES: Final = 100
+# Rises by one each time the store comes back from an older copy of itself.
+ERA_HEADER: Final = "Store-Era"
+ERA_DIGITS: Final = 15
+# Before the first answer.
+NO_ERA: Final = -1
+ERA_ROSE: Final = "the store came back from an older copy meanwhile"
+ERA_BEFORE: Final = "an answer of an earlier era of the store"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,9 +53,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectList:
-    """All objects of a kind; a watch may begin at `revision`."""
+    """All objects of a kind; a watch may begin at `position`."""
 
-    revision: int
+    position: StorePosition
     items: tuple[StoreObject, ...]
 
 
@@ -60,9 +69,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ChangeList:
-    """What changed up to `revision`, from where the watch goes on."""
+    """What changed up to `position`, from where the watch goes on."""
 
-    revision: int
+    position: StorePosition
     changes: tuple[ObjectChange, ...]
 
 
@@ -75,13 +84,20 @@
 class _Answer:
     status: int
     document: Any
+    era: int
 
 
 class Store:
-    """Calls to the store; each ends within its timeout."""
+    """Calls to the store; each ends within its timeout.
+
+    `era` is the latest that an answer named; later answers of an earlier one tell
+    nothing of what the store holds now. `note_era` is called when it rises.
+    """
 
     def __init__(self, *, address: str) -> None:
         self.calls: Counter[str] = Counter()
+        self.era = NO_ERA
+        self.note_era: Callable[[int], None] = lambda era: None
         self._root = f"http://{address}/api/objects"
         self._session: aiohttp.ClientSession | None = None
 
@@ -106,7 +122,7 @@
         """Return all objects of a kind."""
         items: list[StoreObject] = []
         params: dict[str, str] = {"staleOk": "1"} if may_be_stale else {}
-        revision: int | None = None
+        position: StorePosition | None = None
         for _ in range(LONGEST_LIST_PAGES):
             answer = await self._call("list", "GET", self._path(kind), params=params)
             if isinstance(answer, Unavailable | Unknown):
@@ -114,19 +130,24 @@
             page = _parse_page(answer)
             if isinstance(page, Unavailable):
                 return page
+            if position is not None and page.position.era != position.era:
+                return Unavailable(reason=ERA_ROSE)
             # Changes between two pages are seen by a watch from the first one.
-            revision = page.revision if revision is None else revision
+            position = page.position if position is None else position
             items += page.items
             if not answer.document.get("hasMore") or not page.items:
-                return ObjectList(revision=revision, items=tuple(items))
+                return ObjectList(position=position, items=tuple(items))
             params["after"] = page.items[-1].name
         return Unavailable(reason=f"more than {LONGEST_LIST_PAGES} pages")
 
     async def watch(
-        self, kind: str, *, revision: int, wait_s: float
+        self, kind: str, *, since: StorePosition, wait_s: float
     ) -> ChangeList | HistoryLost | Unavailable:
-        """Return what changes after a revision, at the latest after `wait_s`."""
-        params = {"watch": str(revision), "waitMs": str(int(wait_s * 1000))}
+        """Return what changes after a position, at the latest after `wait_s`.
+
+        What an answer of another era tells does not follow on that position.
+        """
+        params = {"watch": str(since.revision), "waitMs": str(int(wait_s * 1000))}
         answer = await self._call(
             "watch",
             "GET",
@@ -136,7 +157,7 @@
         )
         if isinstance(answer, Unavailable | Unknown):
             return Unavailable(reason=answer.reason)
-        if answer.status == HTTPStatus.GONE:
+        if answer.status == HTTPStatus.GONE or answer.era != since.era:
             return HistoryLost()
         return _parse_changes(answer)
 
@@ -151,7 +172,7 @@
             params={"staleOk": "1"},
             timeout_s=timeout_s,
         )
-        if isinstance(answer, Unavailable | Unknown):
+        if isinstance(answer, Unavailable | Unknown) and answer.reason != ERA_BEFORE:
             return Unavailable(reason=answer.reason)
         return None
 
@@ -223,16 +244,31 @@
             ) as reply:
                 text = await reply.read()
                 status = reply.status
+                era = _parse_era(reply.headers.get(ERA_HEADER))
         except aiohttp.ClientConnectorError as exc:
             return Unavailable(reason=type(exc).__name__)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             return Unknown(reason=type(exc).__name__)
+        if era < self.era:
+            return Unknown(reason=ERA_BEFORE)
+        if era > self.era:
+            is_first, self.era = self.era == NO_ERA, era
+            if not is_first:
+                self.note_era(era)
         if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
             return Unavailable(reason=f"status {status}")
         try:
-            return _Answer(status=status, document=json.loads(text) if text else None)
+            document = json.loads(text) if text else None
         except ValueError:
             return Unknown(reason=f"malformed answer of status {status}")
+        return _Answer(status=status, document=document, era=era)
+
+
+def _parse_era(value: str | None) -> int:
+    """Return the era that an answer names; 0 where the store names none."""
+    if value is None or not value.isascii() or not value.isdigit():
+        return 0
+    return int(value[:ERA_DIGITS])
 
 
 def _parse_page(answer: _Answer) -> ObjectList | Unavailable:
@@ -244,7 +280,8 @@
         return Unavailable(reason="malformed list")
     items = [_parse_object(row) for row in rows]
     return ObjectList(
-        revision=revision, items=tuple(item for item in items if item is not None)
+        position=StorePosition(era=answer.era, revision=revision),
+        items=tuple(item for item in items if item is not None),
     )
 
 
@@ -261,7 +298,8 @@
         if item is not None:
             is_deleted = row.get("deleted") is True
             changes.append(ObjectChange(item=item, is_deleted=is_deleted))
-    return ChangeList(revision=revision, changes=tuple(changes))
+    position = StorePosition(era=answer.era, revision=revision)
+    return ChangeList(position=position, changes=tuple(changes))
 
 
 def _parse_object(row: Any) -> StoreObject | None:
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -26,6 +26,10 @@
         self.revision = 10
         self.forgotten = 0
         self.mode = ""
+        # Named in every answer; None for a store that names none.
+        self.era: int | None = None
+        # What stands in its place, as it is sent.
+        self.named_era: bytes | None = None
         # Lists of these kinds lag behind so far that they are empty.
         self.hidden: set[str] = set()
         # Before each answer.
@@ -53,6 +57,17 @@
         item = self.objects.pop((kind, name))
         self.events.append((self.revision, kind, item, True))
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], dict[str, Any]]]:
+        """Return a copy to which the store can be set back."""
+        return self.revision, dict(self.objects)
+
+    def set_back(self, kept: tuple[int, dict[tuple[str, str], dict[str, Any]]]) -> None:
+        """Begin the next era from an older copy; waiting watches see no end."""
+        self.revision, objects = kept
+        self.objects = dict(objects)
+        self.events = [e for e in self.events if e[0] <= self.revision]
+        self.era = (self.era or 0) + 1
+
     def forget(self) -> None:
         """Drop the history, so that watches from before get 410."""
         self.forgotten = self.revision
@@ -71,7 +86,7 @@
         if self.mode == "silent":
             await asyncio.sleep(LONG_S)
         if self.mode == "busy":
-            await _reply(send, 503, {"error": "busy"})
+            await self._reply(send, 503, {"error": "busy"})
             return
         if scope["method"] == "GET":
             await self._read_call(kind, name, params, send)
@@ -83,7 +98,7 @@
     ) -> None:
         if name:
             item = self.objects.get((kind, name))
-            await _reply(send, 404 if item is None else 200, item)
+            await self._reply(send, 404 if item is None else 200, item)
         elif "watch" in params:
             await self._watch(kind, params, send)
         else:
@@ -94,14 +109,14 @@
                 "hasMore": False,
                 "storeRevision": self.revision,
             }
-            await _reply(send, 200, document)
+            await self._reply(send, 200, document)
 
     async def _watch(self, kind: str, params: dict[str, str], send: Send) -> None:
         since = int(params["watch"])
         waited_s = 0.0
         while True:
-            if since < self.forgotten:
-                await _reply(send, 410, {"error": "history is gone"})
+            if since < self.forgotten or since > self.revision:
+                await self._reply(send, 410, {"error": "history is gone"})
                 return
             rows = [e for e in self.events if e[0] > since and e[1] == kind]
             if rows or waited_s >= int(params["waitMs"]) / 1000:
@@ -111,7 +126,7 @@
         if self.mode == "silent":
             await asyncio.sleep(LONG_S)
         events = [{"object": e[2], "deleted": e[3]} for e in rows]
-        await _reply(send, 200, {"events": events, "storeRevision": self.revision})
+        await self._reply(send, 200, {"events": events, "storeRevision": self.revision})
 
     async def _write_call(
         self, method: str, kind: str, name: str, document: Any, send: Send
@@ -120,22 +135,27 @@
         held = self.objects.get((kind, name))
         wanted = document["metadata"].get("revision")
         if method == "POST" and held is not None:
-            await _reply(send, 409, held)
+            await self._reply(send, 409, held)
             return
         if method == "PUT" and held is None:
-            await _reply(send, 404, None)
+            await self._reply(send, 404, None)
             return
         if held is not None and wanted not in (None, held["metadata"]["revision"]):
-            await _reply(send, 409, held)
+            await self._reply(send, 409, held)
             return
         self.put(kind, name, document["spec"])
         if self.mode == "lost":
             await asyncio.sleep(LONG_S)
-        await _reply(send, 200, self.objects[kind, name])
-
-
-async def _reply(send: Send, status: int, document: Any) -> None:
-    content = json.dumps(document).encode()
-    headers = [(b"content-length", str(len(content)).encode())]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": content})
+        await self._reply(send, 200, self.objects[kind, name])
+
+    async def _reply(self, send: Send, status: int, document: Any) -> None:
+        content = json.dumps(document).encode()
+        headers = [(b"content-length", str(len(content)).encode())]
+        era = self.named_era
+        if era is None and self.era is not None:
+            era = str(self.era).encode()
+        if era is not None:
+            headers.append((b"store-era", era))
+        start = {"type": "http.response.start", "status": status, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": content})
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -48,6 +48,7 @@
     TimerFired,
 )
 from siskinpier.core.messages import Message, RegisteredServer
+from siskinpier.core.positions import StorePosition
 from siskinpier.core.reducer import reduce
 from siskinpier.core.routing.calls import Call, LoadReport
 from siskinpier.core.state import CoreSettings, HostIdentity, HostState, make_state
@@ -265,7 +266,9 @@
 
     def list_servers(self, host: str, servers: list[RegisteredServer], at: int) -> None:
         """Let a host's watch list the registry at a revision."""
-        event = ServersListed(now=self.now, revision=at, servers=tuple(servers))
+        event = ServersListed(
+            now=self.now, position=StorePosition(revision=at), servers=tuple(servers)
+        )
         self.handle(host, event)
 
     def get_home(self, domain: str) -> str:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -14,6 +14,7 @@
     TimerFired,
 )
 from siskinpier.core.messages import RelayWord, ServersNotice
+from siskinpier.core.positions import StorePosition
 from siskinpier.core.reducer import reduce
 from siskinpier.core.timers import RelayDue
 from tests.standins.slot_world import ScriptedServer, SlotWorld
@@ -63,7 +64,9 @@
 
     def test_change_reaches_every_host(self) -> None:
         world = make_world()
-        event = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+        event = ServersChanged(
+            now=world.now, position=StorePosition(revision=5), servers=(), gone=("s0",)
+        )
         world.handle(find_relay(world), event)
         world.run_for(0.01)
         assert all(list_known(world, host) == ["s1"] for host in HOSTS)
@@ -113,7 +116,9 @@
         world = make_world()
         relay = find_relay(world)
         world.drop = lambda a, b, m: isinstance(m, ServersNotice)
-        event = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+        event = ServersChanged(
+            now=world.now, position=StorePosition(revision=5), servers=(), gone=("s0",)
+        )
         world.handle(relay, event)
         world.run_for(0.01)
         world.drop = lambda a, b, m: False
@@ -127,7 +132,7 @@
             seen.append(m)  # type: ignore[func-returns-value]
         )
         world.run_for(0.5)
-        assert {word.servers_revision for word in seen} == {1}
+        assert {word.servers_position.revision for word in seen} == {1}
 
 
 class TestStart:
@@ -155,12 +160,18 @@
     def test_old_notice_changes_nothing(self) -> None:
         world = make_world()
         relay = find_relay(world)
-        event = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+        event = ServersChanged(
+            now=world.now, position=StorePosition(revision=5), servers=(), gone=("s0",)
+        )
         world.handle(relay, event)
         world.run_for(0.01)
         other = next(name for name in HOSTS if name != relay)
         old = ServersNotice(
-            base=0, revision=4, servers=tuple(world.register()), gone=(), is_whole=True
+            base=StorePosition(),
+            position=StorePosition(revision=4),
+            servers=tuple(world.register()),
+            gone=(),
+            is_whole=True,
         )
         world._deliver(relay, other, old)
         world.run_for(0.01)
@@ -187,7 +198,10 @@
         late = replace(entry, **older)
         for revision, server in ((5, leaving), (6, late)):
             event = ServersChanged(
-                now=world.now, revision=revision, servers=(server,), gone=()
+                now=world.now,
+                position=StorePosition(revision=revision),
+                servers=(server,),
+                gone=(),
             )
             world.handle(relay, event)
         world.run_for(0.1)
@@ -203,7 +217,10 @@
         for revision, is_draining in ((5, True), (6, False)):
             server = replace(entry, is_draining=is_draining, sequence=revision)
             event = ServersChanged(
-                now=world.now, revision=revision, servers=(server,), gone=()
+                now=world.now,
+                position=StorePosition(revision=revision),
+                servers=(server,),
+                gone=(),
             )
             world.handle(relay, event)
         assert not world.states[relay].registry.servers["s0"].is_draining
@@ -228,7 +245,9 @@
         relay = find_relay(world)
         other = next(host for host in HOSTS if host != relay)
         heard = (replace(world.register()[0], name="s9"),)
-        event = ServersChanged(now=world.now, revision=5, servers=heard, gone=())
+        event = ServersChanged(
+            now=world.now, position=StorePosition(revision=5), servers=heard, gone=()
+        )
         reduce(world.states[other], event)
         # The server came and went before the relay listed.
         world.list_servers(relay, world.register(), 9)
@@ -258,7 +277,9 @@
         world.handle(relay, PlatformLost(now=world.now, reason="busy"))
         world.handle(relay, PlatformReached(now=world.now))
         world.run_for(1.5)
-        event = ServersChanged(now=world.now, revision=9, servers=(), gone=("s0",))
+        event = ServersChanged(
+            now=world.now, position=StorePosition(revision=9), servers=(), gone=("s0",)
+        )
         world.handle(relay, event)
         world.run_for(0.2)
         assert all(list_known(world, host) == ["s1"] for host in HOSTS)
@@ -303,7 +324,9 @@
         relay = hold_first_server(world)
         other = next(host for host in HOSTS if host != relay)
         later = (replace(world.register()[1], slots=5),)
-        event = ServersChanged(now=world.now, revision=12, servers=later, gone=())
+        event = ServersChanged(
+            now=world.now, position=StorePosition(revision=12), servers=later, gone=()
+        )
         reduce(world.states[other], event)
         world.run_for(3.0)
         assert all(list_known(world, host) == ["s1"] for host in HOSTS)
@@ -331,7 +354,10 @@
         world.list_servers(relay, [], 9)
         world.run_for(1.0)
         event = ServersChanged(
-            now=world.now, revision=12, servers=tuple(world.register()), gone=()
+            now=world.now,
+            position=StorePosition(revision=12),
+            servers=tuple(world.register()),
+            gone=(),
         )
         world.handle(relay, event)
         world.run_for(4.0)
--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -7,6 +7,7 @@
 from siskinpier.core.cluster.leaving_marks import SETTLED_S
 from siskinpier.core.events import ServersChanged
 from siskinpier.core.messages import RegisteredServer
+from siskinpier.core.positions import StorePosition
 from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
 
 # Within a failure domain, and over all of them, seconds.
@@ -127,7 +128,12 @@
         world.servers["s0"].says_leaving = False
         for host in HOSTS:
             entry = replace(world.states[host].registry.servers["s0"], slots=1)
-            event = ServersChanged(now=world.now, revision=5, servers=(entry,), gone=())
+            event = ServersChanged(
+                now=world.now,
+                position=StorePosition(revision=5),
+                servers=(entry,),
+                gone=(),
+            )
             world.handle(host, event)
         world.servers["s0"].runs.clear()
         ask_all(world, "a")
@@ -138,10 +144,20 @@
         make_leaving(world)
         for host in HOSTS:
             entry = world.states[host].registry.servers["s0"]
-            gone = ServersChanged(now=world.now, revision=5, servers=(), gone=("s0",))
+            gone = ServersChanged(
+                now=world.now,
+                position=StorePosition(revision=5),
+                servers=(),
+                gone=("s0",),
+            )
             world.handle(host, gone)
-            back = ServersChanged(now=world.now, revision=5, servers=(entry,), gone=())
-            world.handle(host, replace(back, revision=5))
+            back = ServersChanged(
+                now=world.now,
+                position=StorePosition(revision=5),
+                servers=(entry,),
+                gone=(),
+            )
+            world.handle(host, back)
         world.servers["s0"].runs.clear()
         ask_all(world, "a")
         assert world.servers["s0"].runs == []
