Close on servers and stores whose bytes are no answer and have no end

Ten of 26 shapes were read on for as long as the call lasted, at full speed: empty lines, interim answers, a chunk's size and its extensions, trailers; the same from the store. Long lines and many fields were already refused by the parser.

An answer of the store ends at 2 MB, the body of a probe at 64 kB.

test_endless_answers.py: ten cases failed before (sent without end, or to the test's 200 MB), now under 8 MB each, most of it in the sockets.

--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -15,7 +15,6 @@
 
 import aiohttp
 import anyio.lowlevel
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
@@ -24,6 +23,7 @@
 from ..core.verdict import AttemptFailure
 from ..logs import log_event
 from .bodies import Body
+from .connections import EndlessAnswerError, StrictHandler
 from .headers import CALL_ID, Headers, get_header, strip_hop_by_hop
 from .resting import RestLimit
 from .streams import make_stream_socket
@@ -34,7 +34,6 @@
 # What is read of a reply before its caller takes some of it: twice this, and one read
 # of the socket more.
 READ_BUFFER_BYTES: Final = 16_384
-READ_BYTES: Final = 65_536
 
 
 class AttemptError(Exception):
@@ -62,6 +61,15 @@
         except (aiohttp.ClientError, OSError) as exc:
             raise AttemptError(AttemptFailure.TRUNCATED) from exc
 
+    async def drain(self, *, limit_bytes: int) -> int:
+        """Pass over the body and return its size; raise if it is longer than that."""
+        size = 0
+        async for chunk in self.iterate():
+            size += len(chunk)
+            if size > limit_bytes:
+                raise AttemptError(AttemptFailure.BAD_REPLY)
+        return size
+
     def is_at_end(self) -> bool:
         """Return True if the whole body was yielded."""
         return self.response.content.at_eof()
@@ -82,27 +90,6 @@
             protocol.close()
 
 
-class StrictHandler(ResponseHandler):
-    """A connection whose break is never taken for the end of a reply.
-
-    A reply without a length ends with its connection; the client would take a reset
-    for that end.
-    """
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Bound what one read of the socket may bring: four times as much is usual."""
-        super().connection_made(transport)
-        # An attribute of the event loop's own transports; others pass it over.
-        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """End the reply in progress by an error if the connection broke."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection broke"))
-        super().connection_lost(exc)
-
-
 # How long the connection had rested that the request of this task uses, seconds; 0
 # for a new one.
 _rested_s: ContextVar[float] = ContextVar("rested_s", default=0.0)
@@ -271,7 +258,7 @@
             raise AttemptError(AttemptFailure.CONNECT_TIMEOUT) from exc
         except aiohttp.ClientConnectorError as exc:
             raise AttemptError(AttemptFailure.CONNECT_REFUSED) from exc
-        except aiohttp.ClientResponseError as exc:
+        except (aiohttp.ClientResponseError, EndlessAnswerError) as exc:
             raise AttemptError(AttemptFailure.BAD_REPLY) from exc
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             self._note_break(sent_at)
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -58,6 +58,8 @@
 from .mesh import Mesh
 from .object_store import ObjectStore
 
+# A probe whose answer has a longer body counts as failed.
+PROBE_BODY_LIMIT_BYTES: Final = 65_536
 PROBE_HEADERS: Final[Headers] = [(b"accept", b"application/json")]
 
 
@@ -286,8 +288,7 @@
                     body=b"",
                 )
                 try:
-                    async for chunk in reply.iterate():
-                        size += len(chunk)
+                    size = await reply.drain(limit_bytes=PROBE_BODY_LIMIT_BYTES)
                 finally:
                     reply.close()
                 draining = self.dialect.is_leaving(reply.headers)
--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -4,10 +4,12 @@
 made, by kind of call.
 """
 
+import asyncio
 import json
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Final
 from urllib.parse import quote
@@ -25,6 +27,7 @@
     Written,
 )
 from ..core.positions import StorePosition
+from ..edge.connections import StrictHandler
 from ..edge.streams import make_stream_socket
 
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -32,6 +35,8 @@
 # How much later than asked a watch's answer may come.
 WATCH_GRACE_S: Final = 1.0
 LONGEST_LIST_PAGES: Final = 100
+# A page of a list holds about a megabyte, or one object that is as large.
+ANSWER_LIMIT_BYTES: Final = 2_097_152
 # Rises by one each time the store comes back from an older copy of itself.
 ERA_HEADER: Final = "Store-Era"
 ERA_DIGITS: Final = 15
@@ -103,8 +108,11 @@
 
     async def open(self) -> None:
         """Prepare the connections; needs a running loop."""
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=make_stream_socket)
+        loop = asyncio.get_running_loop()
+        connector._factory = partial(StrictHandler, loop=loop)  # type: ignore[assignment]
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, socket_factory=make_stream_socket),
+            connector=connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
@@ -242,7 +250,7 @@
             async with self._session.request(
                 method, path, params=params, json=body, timeout=timeout
             ) as reply:
-                text = await reply.read()
+                text = await _read_bounded(reply)
                 status = reply.status
                 era = _parse_era(reply.headers.get(ERA_HEADER))
         except aiohttp.ClientConnectorError as exc:
@@ -264,6 +272,18 @@
         return _Answer(status=status, document=document, era=era)
 
 
+async def _read_bounded(reply: aiohttp.ClientResponse) -> bytes:
+    """Return the body of an answer, or raise if it is longer than any may be."""
+    parts = []
+    left_bytes = ANSWER_LIMIT_BYTES
+    async for part in reply.content.iter_any():
+        left_bytes -= len(part)
+        if left_bytes < 0:
+            raise aiohttp.ClientPayloadError("an answer without end")
+        parts.append(part)
+    return b"".join(parts)
+
+
 def _parse_era(value: str | None) -> int:
     """Return the era that an answer names; 0 where the store names none."""
     if value is None or not value.isascii() or not value.isdigit():
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,177 @@
+"""Servers that send bytes that are no answer, without end, until they are closed on."""
+
+import asyncio
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final
+
+import anyio
+import pytest
+
+from siskinpier.core.platform_results import Unavailable
+from siskinpier.core.verdict import Verdict, get_failure_verdict
+from siskinpier.edge.backends import AttemptError, BackendClient
+from siskinpier.platform.store import Store
+from tests.standins.process import HANG_BOUND_S
+
+# What a server gets rid of before it is closed on: the bounds of a head and of what is
+# around a body, and what the sockets of both sides hold. It gives up after so many.
+BOUND_BYTES: Final = 8_000_000
+ENDLESS_BYTES: Final = 200_000_000
+PIECE_BYTES: Final = 32_768
+OK: Final = b"HTTP/1.1 200 OK\r\n"
+CHUNKED: Final = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+SHORT: Final = OK + b"Content-Length: 2\r\n\r\nab"
+
+HEADS: Final = {
+    "status line": (b"HTTP/1.1 200 ", b"O"),
+    "no status line": (b"", b"\x00\xff"),
+    "empty lines": (b"", b"\r\n"),
+    "one field": (OK + b"A: ", b"x"),
+    "one field's name": (OK, b"x"),
+    "fields": (OK, b"A: x\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "interim answers with fields": (b"", b"HTTP/1.1 100 Continue\r\nA: x\r\n\r\n"),
+}
+BODIES: Final = {
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"1;", b"e"),
+    "chunk extensions": (CHUNKED, b"1;" + b"e" * 5000 + b"\r\na\r\n"),
+    "trailers": (CHUNKED + b"1\r\na\r\n0\r\n", b"A: x\r\n"),
+    "trailer": (CHUNKED + b"1\r\na\r\n0\r\nA: ", b"x"),
+}
+
+
+class Flood:
+    """Serves connections one after another: a start, then a piece without end."""
+
+    def __init__(self, start: bytes, piece: bytes) -> None:
+        self._start = start
+        self._piece = piece * (PIECE_BYTES // len(piece)) if piece else b""
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.sent = 0
+        self.closed = threading.Event()
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._listener.close()
+        self._thread.join(HANG_BOUND_S)
+
+    def _serve(self) -> None:
+        conn, _ = self._listener.accept()
+        conn.settimeout(HANG_BOUND_S)
+        with conn:
+            try:
+                conn.recv(65_536)
+                conn.sendall(self._start)
+                while self._piece and self.sent < ENDLESS_BYTES:
+                    self.sent += conn.send(self._piece)
+            except OSError:
+                self.closed.set()
+
+
+@contextmanager
+def flood(shape: tuple[bytes, bytes]) -> Iterator[Flood]:
+    """Run a server that sends a shape."""
+    server = Flood(*shape)
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+async def read_whole(address: str) -> bytes:
+    """Return the body of an answer; the bound only ends a test that hangs."""
+    client = BackendClient()
+    await client.open()
+    try:
+        with anyio.fail_after(HANG_BOUND_S):
+            reply = await client.send(
+                address=address, method="GET", target="/", headers=[], body=b""
+            )
+            try:
+                return b"".join([part async for part in reply.iterate()])
+            finally:
+                reply.close()
+    finally:
+        await client.aclose()
+
+
+class TestBackendServers:
+    """An attempt ends at a bound, by its failure, and its connection is closed."""
+
+    @pytest.mark.parametrize("shape", HEADS.values(), ids=HEADS)
+    def test_head(self, shape: tuple[bytes, bytes]) -> None:
+        with flood(shape) as server:
+            with pytest.raises(AttemptError) as caught:
+                asyncio.run(read_whole(server.address))
+            assert server.closed.wait(HANG_BOUND_S)
+            assert server.sent < BOUND_BYTES
+        assert get_failure_verdict(caught.value.failure) is Verdict.MAY_HAVE_RUN
+
+    @pytest.mark.parametrize("shape", BODIES.values(), ids=BODIES)
+    def test_body(self, shape: tuple[bytes, bytes]) -> None:
+        with flood(shape) as server:
+            with pytest.raises(AttemptError) as caught:
+                asyncio.run(read_whole(server.address))
+            assert server.closed.wait(HANG_BOUND_S)
+            assert server.sent < BOUND_BYTES
+        assert get_failure_verdict(caught.value.failure) is Verdict.MAY_HAVE_RUN
+
+    def test_body_of_a_probe(self) -> None:
+        async def drain(address: str) -> None:
+            client = BackendClient()
+            await client.open()
+            reply = await client.send(
+                address=address, method="GET", target="/", headers=[], body=b""
+            )
+            try:
+                await reply.drain(limit_bytes=65_536)
+            finally:
+                reply.close()
+                await client.aclose()
+
+        with flood((CHUNKED, b"10\r\n" + b" " * 16 + b"\r\n")) as server:
+            with pytest.raises(AttemptError):
+                asyncio.run(drain(server.address))
+            assert server.closed.wait(HANG_BOUND_S)
+            assert server.sent < BOUND_BYTES
+
+    def test_bytes_after_a_whole_answer(self) -> None:
+        with flood((SHORT, b"x")) as server:
+            assert asyncio.run(read_whole(server.address)) == b"ab"
+            assert server.closed.wait(HANG_BOUND_S)
+            assert server.sent < BOUND_BYTES
+
+    def test_long_answer_in_small_chunks_is_whole(self) -> None:
+        chunks = b"1\r\na\r\n" * 200_000
+        with flood((CHUNKED + chunks + b"0\r\n\r\n", b"")) as server:
+            assert asyncio.run(read_whole(server.address)) == b"a" * 200_000
+
+
+class TestStore:
+    """An answer of the store without end is an outage, never memory."""
+
+    @pytest.mark.parametrize(
+        "shape",
+        [*HEADS.values(), *BODIES.values(), (CHUNKED, b"10\r\n" + b" " * 16 + b"\r\n")],
+        ids=[*HEADS, *BODIES, "body"],
+    )
+    def test_read(self, shape: tuple[bytes, bytes]) -> None:
+        async def read(address: str) -> object:
+            client = Store(address=address)
+            await client.open()
+            with anyio.fail_after(HANG_BOUND_S):
+                result = await client.read_object(kind="servers", name="a")
+            await client.aclose()
+            return result
+
+        with flood(shape) as server:
+            result = anyio.run(read, server.address)
+            assert server.closed.wait(HANG_BOUND_S)
+            assert server.sent < BOUND_BYTES
+        assert isinstance(result, Unavailable)
