--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -9,24 +9,17 @@
 from dataclasses import replace
 from typing import Final
 
-import xxhash
-
 from ..configuration.intents import BackendServer, ServerState, ServiceIntent
-from ..effects import Effect, LogDecision, SendMessage
+from ..effects import Effect, LogDecision
 from ..events import ServersChanged, ServersListed
-from ..messages import (
-    RegisteredServer,
-    ServerNotice,
-    ServersNotice,
-    ServersRequest,
-)
+from ..messages import RegisteredServer, ServerNotice, ServersNotice
 from ..positions import StorePosition
 from ..routing.dispatch import drain_queue, place_stranded
-from ..state import HostState, RegistryState
-from .broadcast import tell_domain
+from ..state import HostState
 from .eras import begin_era, drop_departed, note_departed
-from .lapses import end_due_holds, hold_lapsed, list_held, take_held
+from .lapses import end_due_holds, hold_lapsed, take_held
 from .leaving_marks import HeardFrom, clear_marks, mark_leaving
+from .registry_notices import hash_names, pass_on_changes, request_servers
 from .views import get_live_hosts, make_service, place
 
 # What told of an entry, in log lines, where it was no other host.
@@ -54,7 +47,7 @@
     gone = hold_lapsed(state, missing, event.now, out)
     base = registry.position
     _take(state, event.position, changed, gone, event.now, out, told_by=LISTED)
-    _pass_on(state, base, changed, gone, event.now, out)
+    pass_on_changes(state, base, changed, gone, event.now, out)
 
 
 def take_changed(state: HostState, event: ServersChanged, out: list[Effect]) -> None:
@@ -66,7 +59,7 @@
     servers = drop_departed(state, event.servers, event.position, out, is_change=True)
     gone = hold_lapsed(state, event.gone, event.now, out)
     _take(state, event.position, servers, gone, event.now, out, told_by=WATCHED)
-    _pass_on(state, base, servers, gone, event.now, out)
+    pass_on_changes(state, base, servers, gone, event.now, out)
 
 
 def take_servers_notice(
@@ -123,35 +116,6 @@
         refresh_services(state, (notice.service,), now, out)
 
 
-def request_servers(state: HostState, host: str, out: list[Effect]) -> None:
-    """Ask a peer for its whole registry."""
-    member = state.members.get(host)
-    if member is not None:
-        message = ServersRequest(host=state.identity.name)
-        out.append(SendMessage(host=host, address=member.peers, message=message))
-
-
-def answer_servers_request(
-    state: HostState, request: ServersRequest, now: float, out: list[Effect]
-) -> None:
-    """Tell a peer the whole registry."""
-    member = state.members.get(request.host)
-    registry = state.registry
-    if member is None or registry.position.revision == 0:
-        return
-    held = registry.lapsed
-    notice = ServersNotice(
-        base=StorePosition(),
-        position=registry.position,
-        servers=tuple(s for s in registry.servers.values() if s.name not in held),
-        gone=(),
-        is_whole=True,
-        names=hash_names(registry),
-        held=list_held(state, now),
-    )
-    out.append(SendMessage(host=member.name, address=member.peers, message=notice))
-
-
 def fill_service(state: HostState, intent: ServiceIntent) -> ServiceIntent:
     """Return a service's intent with the servers that registered for it."""
     if not state.settings.servers_register:
@@ -215,15 +179,6 @@
     return newer
 
 
-def hash_names(registry: RegistryState) -> int:
-    """Return a number that is equal where the same entries stand at the platform."""
-    result = 0
-    for name in registry.servers:
-        if name not in registry.lapsed:
-            result ^= xxhash.xxh3_64_intdigest(name.encode())
-    return result
-
-
 def _take(
     state: HostState,
     position: StorePosition,
@@ -264,28 +219,6 @@
     refresh_services(state, touched, now, out)
 
 
-def _pass_on(
-    state: HostState,
-    base: StorePosition,
-    servers: Iterable[RegisteredServer],
-    gone: Iterable[str],
-    now: float,
-    out: list[Effect],
-) -> None:
-    """Tell the hosts of the failure domain what the platform told this one."""
-    registry = state.registry
-    notice = ServersNotice(
-        base=base,
-        position=registry.position,
-        servers=tuple(servers),
-        gone=tuple(gone),
-        is_whole=False,
-        names=hash_names(registry),
-        held=list_held(state, now),
-    )
-    tell_domain(state, notice, out)
-
-
 def _make_server(
     server: RegisteredServer, intent: ServiceIntent, *, is_leaving: bool
 ) -> BackendServer:
--- a/src/siskinpier/core/cluster/relays.py
+++ b/src/siskinpier/core/cluster/relays.py
@@ -15,7 +15,7 @@
 from ..state import HostState
 from ..timers import RelayDue
 from .broadcast import tell_domain
-from .registry import request_servers
+from .registry_notices import request_servers
 from .rendezvous import rank_strongest
 from .views import get_live_hosts
 
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -20,13 +20,13 @@
 )
 from .cluster.readiness import check_readiness, take_missing_intents
 from .cluster.registry import (
-    answer_servers_request,
     drop_lapsed,
     take_changed,
     take_leaving_notice,
     take_listed,
     take_servers_notice,
 )
+from .cluster.registry_notices import answer_servers_request
 from .cluster.relays import (
     pass_on_intents,
     start_relay,
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -37,6 +37,7 @@
 )
 from .callers import FrontApp, SideApp
 from .fields import REQUEST_ID, PlatformDialect
+from .registration import Registration
 from .relay import Relay
 from .reload import SettingsWatcher
 from .settings import (
@@ -119,9 +120,10 @@
     )
     watcher = SettingsWatcher(path=path, settings=settings)
     relay = Relay(shell=shell, store=store, settings=settings)
+    registration = Registration(shell=shell, store=store, settings=settings)
     try:
         async with anyio.create_task_group() as tasks:
-            await _serve(shell, relay, watcher, sockets, metrics, tasks)
+            await _serve(shell, relay, registration, watcher, sockets, metrics, tasks)
             tasks.cancel_scope.cancel()
     finally:
         with anyio.CancelScope(shield=True):
@@ -132,6 +134,7 @@
 async def _serve(
     shell: Shell,
     relay: Relay,
+    registration: Registration,
     watcher: SettingsWatcher,
     sockets: list[socket.socket],
     metrics: list[socket.socket],
@@ -148,7 +151,7 @@
         tasks.start_soon(side.serve, [readiness, addresses, *metrics])
         shell.handle(HostStarted(now=shell.clock()))
         tasks.start_soon(relay.run)
-        tasks.start_soon(relay.register)
+        tasks.start_soon(registration.run)
         calm_collector()
         log_event("start", host=shell.settings.name)
         with anyio.move_on_after(START_HOLD_S):
--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -32,6 +32,9 @@
 
 CONNECT_TIMEOUT_S: Final = 0.5
 CALL_TIMEOUT_S: Final = 1.5
+# Pauses before a call is tried again after a fault, which grow, seconds.
+RETRY_S: Final = 0.3
+RETRY_LONGEST_S: Final = 1.0
 # How much later than asked a watch's answer may come.
 WATCH_GRACE_S: Final = 1.0
 LONGEST_LIST_PAGES: Final = 100
