Take bytes of a server that speaks before it is asked

Found by reading this change as a newcomer: the counters of a connection were set with its first request, so bytes that came before it raised AttributeError in the event loop and ended the connection with a traceback. They begin with the connection now. The test failed before.

--- a/src/siskinpier/edge/connections.py
+++ b/src/siskinpier/edge/connections.py
@@ -34,6 +34,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound what one read of the socket may bring: four times as much is usual."""
         super().connection_made(transport)
+        # A server may speak before it is asked.
+        self._received_bytes = 0
+        self._counted: StreamReader | None = None
         # An attribute of the event loop's own transports; others pass it over.
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
 
@@ -54,7 +57,7 @@
     def set_response_params(self, **params: Any) -> None:
         """Begin to count anew with each request."""
         self._received_bytes = 0
-        self._counted: StreamReader | None = None
+        self._counted = None
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Final
 
 import anyio
@@ -13,6 +13,7 @@
 from siskinpier.core.platform_results import Unavailable
 from siskinpier.core.verdict import Verdict, get_failure_verdict
 from siskinpier.edge.backends import AttemptError, BackendClient
+from siskinpier.edge.connections import StrictHandler
 from siskinpier.platform.store import Store
 from tests.standins.process import HANG_BOUND_S
 
@@ -115,6 +116,32 @@
             assert server.sent < BOUND_BYTES
         assert get_failure_verdict(caught.value.failure) is Verdict.MAY_HAVE_RUN
 
+    def test_server_that_speaks_before_it_is_asked(self) -> None:
+
+        async def speak(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b"x" * 1000)
+            with suppress(ConnectionError):
+                await reader.read()
+
+        async def run() -> None:
+            failures = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: failures.append(context))
+            server = await asyncio.start_server(speak, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            transport, protocol = await loop.create_connection(
+                lambda: StrictHandler(loop=loop), "127.0.0.1", port
+            )
+            while not protocol.should_close:
+                await asyncio.sleep(0.01)
+            transport.abort()
+            server.close()
+            assert not failures
+
+        asyncio.run(run())
+
     def test_body_of_a_probe(self) -> None:
         async def drain(address: str) -> None:
             client = BackendClient()
