--- a/src/siskinpier/core/cluster/readiness.py
+++ b/src/siskinpier/core/cluster/readiness.py
@@ -42,11 +42,8 @@
         return f"routing intents of revision {reported}, which a peer reported"
     if state.settings.servers_register:
         # The platform's reads are linearizable there.
-        return (
-            None
-            if state.registry.position.revision
-            else "no registered backend servers yet"
-        )
+        has_listed = state.registry.position.revision > 0
+        return None if has_listed else "no registered backend servers yet"
     if not state.has_written and now - state.informed < START_SETTLE_S:
         return f"{START_SETTLE_S} s for platform and peers to report newer intents"
     return None
