Hold a fleet of 36 hosts to the time in which it follows a new era

Four failure domains, one of which loses its relay as the era rises: all others know within 1 s, that one within 2 s.

--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -128,6 +128,43 @@
         assert list_known(world) == [["s0", "s1"]] * 3
 
 
+class TestFleet:
+    """Four failure domains, of which one loses its relay as the era rises."""
+
+    BOUND_S = 1.0
+    BOUND_WITHOUT_RELAY_S = 2.0
+
+    def test_all_hosts_follow(self) -> None:
+        hosts = {f"h{n}": f"d{n % 4}" for n in range(36)}
+        servers = [ScriptedServer(name=f"s{n}", failure_domain="d1") for n in range(8)]
+        world = SlotWorld(hosts=hosts, servers=servers)
+        relays = [name for name, state in world.states.items() if state.watching]
+        assert len(relays) == 4
+        world.dead.add(relays[0])
+        began = world.now
+        listed = set(relays)
+        for relay in relays[1:]:
+            self.list_at(world, relay)
+        followed: dict[str, float] = {}
+        while world.now < began + self.BOUND_WITHOUT_RELAY_S:
+            world.run_for(0.02)
+            for name, state in world.states.items():
+                if state.registry.position.era == BACK.era:
+                    followed.setdefault(name, world.now - began)
+                if state.watching and name not in listed:
+                    listed.add(name)
+                    self.list_at(world, name)
+        others = [n for n, d in hosts.items() if d != hosts[relays[0]]]
+        assert set(followed) == set(hosts) - {relays[0]}
+        assert max(followed[name] for name in others) <= self.BOUND_S
+
+    def list_at(self, world: SlotWorld, host: str) -> None:
+        """Let a host list the store in its new era."""
+        entries = tuple(list_entries(world))
+        event = ServersListed(now=world.now, position=BACK, servers=entries)
+        world.handle(host, event)
+
+
 class TestLeaving:
     """A server that leaves, or is gone, is not put back by the older copy."""
 
