--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -297,6 +297,11 @@
         world.run_for(0.1)
         others = [host for host in HOSTS if host != relay]
         assert [list_known(world, host) for host in others] == [["s1"], ["s1"]]
+        for number in range(8):
+            world.call(others[number % 2], f"c{number}")
+        world.run_for(1.0)
+        assert {answer.status for answer in world.answers.values()} == {200}
+        assert world.servers["s0"].runs == []
 
     def test_outage_of_one_host_is_none_of_its_failure_domain(self) -> None:
         world = make_world()
