Give children of tests ports that nobody takes before them

Traced: ports came from the system and were closed until the child listened, and a stand-in of another test process got one of them meanwhile (the 421 is a backend's answer to a request that was meant for the host at that port). That the other two are of this cause is inferred.

Ports come from a part of their own for each process, below those that the system hands out.

--- a/tests/standins/process.py
+++ b/tests/standins/process.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable, MutableMapping, Sequence
+from itertools import cycle
 from pathlib import Path
 from types import TracebackType
 from typing import IO, Any, Final, Self, TypeAlias
@@ -28,6 +29,9 @@
 GRACEFUL_SHUTDOWN_S: Final = 1
 KEEPALIVE_S: Final = 75
 LOOPBACK: Final = "127.0.0.1"
+FIRST_PORT: Final = 10_240
+PORTS_EACH: Final = 100
+PORT_PARTS: Final = 220
 
 Message: TypeAlias = MutableMapping[str, Any]
 Scope: TypeAlias = MutableMapping[str, Any]
@@ -36,6 +40,10 @@
 App: TypeAlias = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 
+_first_own: Final = FIRST_PORT + PORTS_EACH * (os.getpid() % PORT_PARTS)
+_own_ports: Final = cycle(range(_first_own, _first_own + PORTS_EACH))
+
+
 class StandInError(Exception):
     """The child process did not become ready."""
 
@@ -189,14 +197,27 @@
 
 
 def find_ports(count: int, ip: str = LOOPBACK) -> list[int]:
-    """Return free ports of a loopback address, from the system."""
-    sockets = [socket.create_server((ip, 0)) for _ in range(count)]
-    ports = [int(sock.getsockname()[1]) for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return free ports of a loopback address, for a child to listen on.
+
+    They lie below those that the system hands out, and in this process's own part of
+    them, so that nobody takes them before the child does.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_own_ports)
+        if _is_free(ip, port):
+            ports.append(port)
     return ports
 
 
+def _is_free(ip: str, port: int) -> bool:
+    try:
+        socket.create_server((ip, port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def _child_environ() -> dict[str, str]:
     paths = [str(ROOT / "src"), str(ROOT)]
     return {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
