--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -41,17 +41,22 @@
             upstream.register(self.store)
             self.upstreams.append(upstream)
 
-    def add_host(self, name: str, **options: Any) -> Host:
-        """Start a host."""
+    def make_host(self, name: str, **options: Any) -> Host:
+        """Return a host that is not started yet."""
         seeds = ",".join(f"127.0.0.1:{host.control}" for host in self.hosts[:3])
         options.setdefault("seeds", seeds)
         host = Host(
             self.record, self._folder, store=self.store.address, name=name, **options
         )
-        host.start()
         self.hosts.append(host)
         return host
 
+    def add_host(self, name: str, **options: Any) -> Host:
+        """Start a host."""
+        host = self.make_host(name, **options)
+        host.start()
+        return host
+
     def configure(
         self, version: int, rules: list[dict[str, Any]], services: list[str], **limits: Any
     ) -> None:
--- a/review/standins/host.py
+++ b/review/standins/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -11,6 +12,7 @@
 from .record import Record
 
 ROOT = Path(__file__).resolve().parents[2]
+PORT_RANGE = (15_000, 32_000)
 BOUNDS = {
     "seedLagS": 3,
     "addressReuseS": 2,
@@ -37,15 +39,21 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now, all different."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
+    """Return ports that are free now, all different.
+
+    They lie below those that the system gives to outgoing connections.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return ports
 
 
 class Host:
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -5,12 +5,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from .http import Message, make_response, read_message
+from .http import Fields, Message, make_response, read_message
 from .record import Record
 from .store import Store
 
 HEALTH_PATH = "/health"
 IDLE_S = 10.0
+# How often a waiting request looks for a free slot.
+POLL_S = 0.002
 
 
 class Upstream:
@@ -25,17 +27,27 @@
         zone: str = "z1",
         slots: int = 4,
         work_s: float = 0.02,
+        queue: int = 0,
+        tells_load: bool = True,
+        drops: bool = True,
     ) -> None:
         self.name = name
         self.service = service
         self.zone = zone
         self.slots = slots
         self.work_s = work_s
+        # How many requests may wait for a slot.
+        self.queue = queue
+        # Without it, health checks wait for a slot or are rejected as other requests.
+        self.tells_load = tells_load
+        # Whether a request ends when its connection closes.
+        self.drops = drops
         self.address = ""
         self.born = int(time.time() * 1000)
         # The requests that ran: request id and path, in order.
         self.runs: list[tuple[str, str]] = []
         self.running = 0
+        self.waiting = 0
         # Writes an answer; a case replaces it to answer wrongly.
         self.write_answer: Callable[
             [Message, bytes, asyncio.StreamWriter], Awaitable[None]
@@ -109,33 +121,65 @@
         finally:
             writer.close()
 
-    def _make_load(self) -> tuple[str, str]:
-        return ("X-Server-Load", f"{self.running},0,{self.slots},100")
+    def _make_fields(self, request_id: str | None) -> Fields:
+        fields: Fields = []
+        if request_id:
+            fields.append(("X-Request-Id", request_id))
+        if self.tells_load:
+            load = f"{self.running},{self.waiting},{self.slots},100"
+            fields.append(("X-Server-Load", load))
+        return fields
 
     async def _handle(self, call: Message) -> bytes:
         method, path, _ = call.first
-        if path == HEALTH_PATH:
-            fields = [("X-Instance-Id", self.name), self._make_load()]
-            return make_response(200, fields)
+        is_health = path == HEALTH_PATH
         request_id = call.get("x-request-id")
-        fields = [("X-Request-Id", request_id or ""), self._make_load()]
-        rejected = [*fields, ("X-Not-Executed", "1")]
-        if not request_id:
-            return make_response(400, rejected)
+        rejected = ("X-Not-Executed", "1")
+        if not is_health and not request_id:
+            return make_response(400, [*self._make_fields(None), rejected])
         if call.get("x-expected-instance") not in (None, self.name):
-            return make_response(421, rejected)
-        if self.running >= self.slots:
-            return make_response(503, rejected)
+            return make_response(421, [*self._make_fields(request_id), rejected])
+        if (not is_health or not self.tells_load) and not await self._take_slot():
+            self._record.write(self.name, f"rejects {request_id} {method} {path}")
+            return make_response(503, [*self._make_fields(request_id), rejected])
+        if is_health:
+            if not self.tells_load:
+                self.running -= 1
+            fields = [*self._make_fields(None), ("X-Instance-Id", self.name)]
+            return make_response(200, fields)
+        assert request_id is not None
         self.runs.append((request_id, path))
         self._record.write(self.name, f"runs {request_id} {method} {path}")
+        work = asyncio.create_task(self._work())
+        if self.drops:
+            await work
+        else:
+            self._tasks.add(work)
+            work.add_done_callback(self._tasks.discard)
+            await asyncio.shield(work)
+        fields = self._make_fields(request_id)
+        fields.append(("X-Response-Signature", self.make_signature(request_id)))
+        return make_response(200, fields, self.make_body(request_id))
+
+    async def _take_slot(self) -> bool:
+        """Wait for a slot and take it; return False if the queue is full."""
+        if self.running >= self.slots:
+            if self.waiting >= self.queue:
+                return False
+            self.waiting += 1
+            try:
+                while self.running >= self.slots:
+                    await asyncio.sleep(POLL_S)
+            finally:
+                self.waiting -= 1
         self.running += 1
+        return True
+
+    async def _work(self) -> None:
         try:
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
-        fields = [("X-Request-Id", request_id), self._make_load()]
-        fields.append(("X-Response-Signature", self.make_signature(request_id)))
-        return make_response(200, fields, self.make_body(request_id))
 
     def stop(self) -> None:
         """Stop listening, and end all connections."""
