--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import re
+import signal
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -109,6 +110,10 @@
 
 
 async def _run(folder: Path, play: Callable[[Case], Awaitable[bool]]) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
         case = Case(folder, Path(temporary))
         case.record.say(f"trouble: {'on' if case.trouble else 'off'}")
@@ -118,7 +123,12 @@
             async with asyncio.timeout(LIMIT_S):
                 await case.store.start()
                 broken = await play(case)
-        except (CannotRunError, TimeoutError, OSError) as exc:
+        except (
+            CannotRunError,
+            TimeoutError,
+            OSError,
+            asyncio.CancelledError,
+        ) as exc:
             case.record.say(f"the case could not run: {exc!r}")
             return COULD_NOT_RUN
         finally:
