--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -59,7 +59,11 @@
         return host
 
     def configure(
-        self, version: int, rules: list[dict[str, Any]], services: list[str], **limits: Any
+        self,
+        version: int,
+        rules: list[dict[str, Any]],
+        services: list[str],
+        **limits: Any,
     ) -> None:
         """Write a configuration with one virtual host, `app.example`."""
         spec = {
--- a/review/standins/garbling.py
+++ b/review/standins/garbling.py
@@ -57,7 +57,9 @@
         """Send the kept copy when the next request has arrived."""
         copy = self._copies.pop(writer, None)
         if copy is not None:
-            what = f"a second copy of {copy[:400]!r} before the answer to {call.first[1]}"
+            what = (
+                f"a second copy of {copy[:400]!r} before the answer to {call.first[1]}"
+            )
             self._record.write(self._upstream.name, what)
             writer.write(copy)
             await writer.drain()
--- a/review/standins/host.py
+++ b/review/standins/host.py
@@ -9,6 +9,7 @@
 import tomllib
 from pathlib import Path
 
+from .client import send_request
 from .record import Record
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -122,7 +123,11 @@
         env["SISKINPIER_BOOT"] = str(self._path)
         with self._log_path.open("ab") as log:
             self._child = subprocess.Popen(
-                command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log,
+                command,
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
                 stderr=log,
             )
         self._record.write(self.name, "started")
@@ -151,8 +156,6 @@
 
     async def is_ready(self) -> bool:
         """Return True if the readiness check gets a 200."""
-        from .client import send_request  # noqa: PLC0415
-
         answer = await send_request(
             self.ready, "GET", "/api/readiness", [("Host", "ready")], timeout_s=1.0
         )
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -1,7 +1,7 @@
 """Just enough HTTP/1.1 for the stand-ins: reading a message and writing one."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 Fields = list[tuple[str, str]]
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's metadata store."""
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Callable
 from typing import Any
@@ -141,10 +142,8 @@
             if rows or left <= 0:
                 events = [{"object": e[2], "deleted": e[3]} for e in rows]
                 return {"events": events, "storeRevision": self.revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), left)
-            except TimeoutError:
-                pass
 
     def _write(
         self, method: str, kind: str, name: str, document: Any
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -53,9 +53,9 @@
             [Message, bytes, asyncio.StreamWriter], Awaitable[None]
         ] = self._write_answer
         # Called when a request arrives, before anything is answered.
-        self.before_read: Callable[
-            [Message, asyncio.StreamWriter], Awaitable[None]
-        ] = self._do_nothing
+        self.before_read: Callable[[Message, asyncio.StreamWriter], Awaitable[None]] = (
+            self._do_nothing
+        )
         self._record = record
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
