--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -1,4 +1,4 @@
-"""Running a case: its folder, its record, its result, and the end of what it started."""
+"""Running a case: its folder, record and result, and the end of what it started."""
 
 import asyncio
 import os
