Pass over entries with unreadable text instead of ending every host

Cause: JSON carries a byte that is no text as a lone surrogate, which Python's reader accepts as `str`. `msgspec.convert` raises UnicodeEncodeError where such a text stands in place of a literal, number or table, and the decoders caught ValidationError only. In `service`, `zone` or an object's name the text was accepted, and `encode_message` and the hash of names failed later. Each error went through the task group to the process. The traceback in the hosts' logs shows the first path; the tests show the others, also for the objects of hosts and for the configuration.

Ruled out: an answer of the store that is unreadable as a whole (it is valid ASCII JSON).

Change: text is checked where documents of the store are decoded, by one function. An entry with unreadable text is passed over and logged, a field of the configuration is faulty by itself, an object with an unreadable name is passed over and logged, and a list is never continued from such a name.

--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -6,13 +6,12 @@
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
-import msgspec
 from msgspec import Meta, Struct, field
 
 from ..core.events import ListedHost
 from ..core.messages import RegisteredServer
 from .settings import AdapterSettings
-from .validation import describe_error
+from .validation import UNREADABLE_TEXT, InvalidValueError, convert, is_readable
 
 Seconds = Annotated[float, Meta(ge=0.0, le=604_800.0)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -59,10 +58,12 @@
     document = spec if isinstance(spec, dict) else {}
     if isinstance(status, dict) and status:
         document = {**document, "status": status}
+    if not is_readable(document):
+        return Unreadable(reason=UNREADABLE_TEXT)
     try:
-        entry = msgspec.convert(document, _Entry)
-    except msgspec.ValidationError as exc:
-        return Unreadable(reason=describe_error(exc))
+        entry = convert(document, _Entry)
+    except InvalidValueError as exc:
+        return Unreadable(reason=str(exc))
     return RegisteredServer(
         name=name,
         service=entry.info.service,
@@ -78,10 +79,12 @@
 
 def decode_host(name: str, spec: Any) -> ListedHost | Unreadable:
     """Return the entry host that an object describes, as `encode_host` wrote it."""
+    if not is_readable(spec):
+        return Unreadable(reason=UNREADABLE_TEXT)
     try:
-        host = msgspec.convert(spec, _Host)
-    except msgspec.ValidationError as exc:
-        return Unreadable(reason=describe_error(exc))
+        host = convert(spec, _Host)
+    except InvalidValueError as exc:
+        return Unreadable(reason=str(exc))
     return ListedHost(
         name=name,
         failure_domain=host.failure_domain,
--- a/src/siskinpier/platform/field_reading.py
+++ b/src/siskinpier/platform/field_reading.py
@@ -3,9 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-import msgspec
-
-from .validation import describe_error
+from .validation import InvalidValueError, convert
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,9 +76,9 @@
 
     def _convert(self, name: str, kind: Any, *, effect: str) -> Any:
         try:
-            return msgspec.convert(self.table[name], kind)
-        except msgspec.ValidationError as exc:
-            self.record_fault(name, describe_error(exc), effect)
+            return convert(self.table[name], kind)
+        except InvalidValueError as exc:
+            self.record_fault(name, str(exc), effect)
             return UNUSABLE
 
     def _make_inner(self, name: str, table: dict[str, Any]) -> "FieldReader":
--- a/src/siskinpier/platform/settings.py
+++ b/src/siskinpier/platform/settings.py
@@ -8,10 +8,9 @@
 from dataclasses import dataclass
 from typing import Annotated, Any, Final
 
-import msgspec
 from msgspec import Meta, Struct, field
 
-from .validation import describe_error
+from .validation import InvalidValueError, convert
 
 PATH_VARIABLE: Final = "SISKINPIER_BOOT"
 # Links of at least this speed, megabits per second, do not limit a host.
@@ -134,9 +133,9 @@
     """Parse the text of a settings file; raise `SettingsError` if it is invalid."""
     try:
         # All values in the file are texts, so they are converted.
-        document = msgspec.convert(_parse_lines(text), _SettingsFile, strict=False)
-    except msgspec.ValidationError as exc:
-        raise SettingsError(describe_error(exc)) from exc
+        document = convert(_parse_lines(text), _SettingsFile, strict=False)
+    except InvalidValueError as exc:
+        raise SettingsError(str(exc)) from exc
     peers = _parse_address("listenAddresses.control", document.listen.control)
     reachable_at = document.own.peers_told
     return AdapterSettings(
--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -28,6 +28,8 @@
 from ..core.positions import StorePosition
 from ..edge.outgoing_sockets import make_outgoing_socket
 from ..edge.response_handler import StrictResponseHandler
+from ..logs import log_warning
+from .validation import is_readable
 
 CONNECT_TIMEOUT_S: Final = 0.5
 CALL_TIMEOUT_S: Final = 1.5
@@ -44,6 +46,7 @@
 MAX_ERA_DIGITS: Final = 15
 # The era before the first response.
 UNKNOWN_ERA: Final = -1
+NO_READABLE_NAME: Final = "no readable name to continue a list from"
 ERA_CHANGED: Final = "the store came back from an older copy meanwhile"
 EARLIER_ERA: Final = "an answer of an earlier era of the store"
 
@@ -146,8 +149,10 @@
             # A watch from the first page's position gets the changes between two pages.
             position = page.position if position is None else position
             items += page.items
-            if not response.document.get("hasMore") or not page.items:
+            if not response.document.get("hasMore"):
                 return ObjectList(position=position, items=tuple(items))
+            if not page.items:
+                return Unavailable(reason=NO_READABLE_NAME)
             params["after"] = page.items[-1].name
         return Unavailable(reason=f"more than {MAX_LIST_PAGES} pages")
 
@@ -330,12 +335,16 @@
 
 
 def _parse_object(row: Any) -> StoreObject | None:
-    """Return an object, or None if its name or revision is invalid."""
+    """Return an object, or None after logging that its name or revision is invalid."""
     metadata = row.get("metadata") if isinstance(row, dict) else None
     if not isinstance(metadata, dict):
-        return None
+        metadata = {}
     name, revision = metadata.get("name"), metadata.get("revision")
-    if not isinstance(name, str) or not isinstance(revision, int):
+    if not isinstance(name, str) or not is_readable(name):
+        log_warning("object-unreadable", name=f"{name!r:.80}")
+        return None
+    if not isinstance(revision, int):
+        log_warning("object-unreadable", name=name[:80], revision=f"{revision!r:.40}")
         return None
     return StoreObject(
         name=name,
--- a/src/siskinpier/platform/validation.py
+++ b/src/siskinpier/platform/validation.py
@@ -1,16 +1,46 @@
-"""One-line descriptions of validation errors."""
+"""Conversion of decoded documents into typed values, with one-line errors."""
 
 import re
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
 # Messages of `msgspec`: the error, and the path of the field.
 _ERROR: Final = re.compile(r"(?P<what>.*?)(?: - at `\$\.?(?P<path>.*)`)?")
 _MISSING: Final = re.compile(r"Object missing required field `(?P<name>.*)`")
+UNREADABLE_TEXT: Final = "text that is not valid Unicode"
 
 
-def describe_error(exc: msgspec.ValidationError) -> str:
+class InvalidValueError(Exception):
+    """A value is not of the expected type; the message names the field."""
+
+
+def convert(value: Any, kind: Any, *, strict: bool = True) -> Any:
+    """Return a value converted to a `msgspec` type, or raise `InvalidValueError`.
+
+    JSON can hold lone surrogates, which no encoder accepts: a text with one is invalid.
+    """
+    try:
+        converted = msgspec.convert(value, kind, strict=strict)
+        if isinstance(converted, str):
+            converted.encode()
+    except msgspec.ValidationError as exc:
+        raise InvalidValueError(_describe_error(exc)) from exc
+    except UnicodeEncodeError as exc:
+        raise InvalidValueError(UNREADABLE_TEXT) from exc
+    return converted
+
+
+def is_readable(document: Any) -> bool:
+    """Return True if all texts of a document are valid Unicode, keys included."""
+    try:
+        msgspec.json.encode(document)
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _describe_error(exc: msgspec.ValidationError) -> str:
     """Return the path of the field and the error on one line."""
     error = _ERROR.fullmatch(str(exc))
     if error is None:
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,162 @@
+"""Guards against entries of other writers that end a host or hide good entries.
+
+Anything may stand in the store beside the entries of backend servers and hosts. A host
+must pass over what it cannot read, and go on with everything else.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+import anyio
+import pytest
+
+from siskinpier.core.events import ListedHost
+from siskinpier.core.messages import IntentsNotice, RegisteredServer, ServersNotice
+from siskinpier.core.positions import StorePosition
+from siskinpier.edge.codec import decode_message, encode_message
+from siskinpier.platform.configuration import decode_configuration
+from siskinpier.platform.documents import decode_host, decode_server, encode_host
+from siskinpier.platform.store import StoreClient
+from tests.standins.app_thread import AppThread
+from tests.standins.metadata_store import MetadataStore
+from tests.standins.platform_host import (
+    CONFIG,
+    Backend,
+    PlatformHost,
+    make_entry,
+    wait_until,
+)
+from tests.test_platform_documents import ENTRY, change, make_settings
+
+# JSON carries a byte that is no text, such as 0xFF, as a lone surrogate.
+UNREADABLE: Final = "\udcff"
+HOSTS_KIND: Final = "siskinpier-hosts"
+
+
+def list_paths(value: Any, prefix: str = "") -> list[str]:
+    """Return the paths of all fields of a document, tables and rows included."""
+    rows = (
+        value.items()
+        if isinstance(value, dict)
+        else enumerate(value) if isinstance(value, list) else ()
+    )
+    paths = []
+    for key, inner in rows:
+        path = f"{prefix}{key}"
+        paths += [path, *list_paths(inner, f"{path}.")]
+    return paths
+
+
+def make_variants(document: dict[str, Any], value: Any) -> list[dict[str, Any]]:
+    """Return copies of a document with the value in place of each of its fields."""
+    return [change(document, path, value) for path in list_paths(document)]
+
+
+def survives_a_message(server: RegisteredServer) -> bool:
+    """Return True if other hosts can read a message with an entry."""
+    notice = ServersNotice(
+        base_position=StorePosition(),
+        position=StorePosition(revision=1),
+        servers=(server,),
+        gone=(server.name,),
+        is_complete=False,
+    )
+    return decode_message(encode_message(notice)) == notice
+
+
+@dataclass(slots=True, kw_only=True)
+class Pair:
+    """A store, and two hosts of one failure domain: a relay and one that follows it."""
+
+    store: MetadataStore
+    hosts: list[PlatformHost]
+    address: str
+
+    def add_server(self, name: str) -> None:
+        """Write a good entry and wait until both hosts use it."""
+        self.store.put("servers", name, make_entry(self.address))
+        line = f"state=ready service=films server={name} "
+        for host in self.hosts:
+            wait_until(partial(self._has_ended_or_logged, host, line))
+            assert host.child.poll() is None, host.read_log()
+
+    @staticmethod
+    def _has_ended_or_logged(host: PlatformHost, line: str) -> bool:
+        return host.child.poll() is not None or line in host.read_log()
+
+
+@contextmanager
+def run_pair(folder: Path) -> Iterator[Pair]:
+    """Run two hosts until they are ready."""
+    store = MetadataStore()
+    with AppThread(store) as served, AppThread(Backend(name="i-1")) as backend:
+        store.put("config", "main", CONFIG)
+        store.put("servers", "i-1", make_entry(backend.address))
+        one = PlatformHost(folder=folder, store=served.address, name="one")
+        seeds = f"127.0.0.1:{one.control}"
+        two = PlatformHost(folder=folder, store=served.address, name="two", seeds=seeds)
+        try:
+            for host in (one, two):
+                wait_until(host.is_ready)
+            yield Pair(store=store, hosts=[one, two], address=backend.address)
+        finally:
+            one.stop()
+            two.stop()
+
+
+class TestUnreadableText:
+    """Text that is not valid Unicode ends no process, wherever it stands."""
+
+    @pytest.mark.parametrize("path", list_paths(ENTRY))
+    def test_server_entry(self, path: str) -> None:
+        decoded = decode_server("i-1", change(ENTRY, path, UNREADABLE), None)
+        assert not isinstance(decoded, RegisteredServer)
+
+    @pytest.mark.parametrize("path", ["", "info.", "status."])
+    def test_name_of_a_field(self, path: str) -> None:
+        entry = change(ENTRY, path + UNREADABLE, 1)
+        assert not isinstance(decode_server("i-1", entry, None), RegisteredServer)
+
+    def test_host_object(self) -> None:
+        for spec in make_variants(encode_host(make_settings()), UNREADABLE):
+            assert not isinstance(decode_host("x", spec), ListedHost)
+
+    def test_configuration_is_read_as_far_as_it_can_be(self) -> None:
+        settings = make_settings()
+        for spec in make_variants(CONFIG, UNREADABLE):
+            decoded = decode_configuration(spec, settings)
+            if spec["version"] == UNREADABLE:
+                continue
+            notice = IntentsNotice(version="1", intents=decoded.intents)
+            assert decode_message(encode_message(notice)) == notice
+
+    def test_names_of_objects(self) -> None:
+        store = MetadataStore()
+        for name in ("a", UNREADABLE, "z"):
+            store.put("servers", name, make_entry("10.0.0.1:80"))
+
+        async def list_names() -> list[str]:
+            client = StoreClient(address=served.address)
+            await client.open()
+            listed = await client.list_all("servers")
+            await client.aclose()
+            return [item.name for item in listed.items]
+
+        with AppThread(store) as served:
+            assert anyio.run(list_names) == ["a", "z"]
+
+    def test_hosts_go_on(self, tmp_path: Path) -> None:
+        with run_pair(tmp_path) as pair:
+            entry = make_entry(pair.address)
+            for number, spec in enumerate(make_variants(entry, UNREADABLE)):
+                pair.store.put("servers", f"other-{number}", spec)
+            pair.store.put("servers", UNREADABLE, entry)
+            pair.store.put(HOSTS_KIND, UNREADABLE, {})
+            pair.add_server("i-2")
+            for spec in make_variants(CONFIG, UNREADABLE):
+                pair.store.put("config", "main", spec)
+            pair.add_server("i-3")
