Decode the rest of a store answer beside a value that JSON decoders refuse

What callers would see: an entry with values nested 5,000 deep ends every host as it reads the list of servers; one with an integer of 5,000 digits or a byte that is not UTF-8 hides every other entry, as the whole answer counts as a failed call.

Cause: the store client decoded an answer as a whole with json.loads. RecursionError was caught nowhere, and ValueError decided for all entries of the answer.

Change: if the usual decoder refuses an answer, it is decoded again with lone surrogates for bytes that are not UTF-8 and null for values that are nested too deeply or too long; the decoders of the entries pass over what names no server. An answer that is no JSON is still a failed call.

--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -11,7 +11,7 @@
 from ..core.events import ListedHost
 from ..core.messages import RegisteredServer
 from .settings import AdapterSettings
-from .validation import UNREADABLE_TEXT, InvalidValueError, convert, is_readable
+from .validation import UNREADABLE, InvalidValueError, convert, is_readable
 
 Seconds = Annotated[float, Meta(ge=0.0, le=604_800.0)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -59,7 +59,7 @@
     if isinstance(status, dict) and status:
         document = {**document, "status": status}
     if not is_readable(document):
-        return Unreadable(reason=UNREADABLE_TEXT)
+        return Unreadable(reason=UNREADABLE)
     try:
         entry = convert(document, _Entry)
     except InvalidValueError as exc:
@@ -80,7 +80,7 @@
 def decode_host(name: str, spec: Any) -> ListedHost | Unreadable:
     """Return the entry host that an object describes, as `encode_host` wrote it."""
     if not is_readable(spec):
-        return Unreadable(reason=UNREADABLE_TEXT)
+        return Unreadable(reason=UNREADABLE)
     try:
         host = convert(spec, _Host)
     except InvalidValueError as exc:
--- a/src/siskinpier/platform/field_reading.py
+++ b/src/siskinpier/platform/field_reading.py
@@ -1,5 +1,6 @@
 """Reading of a document field by field, so that a bad field affects nothing else."""
 
+import reprlib
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -64,7 +65,9 @@
                 readers.append(self._make_inner(f"{name}[{index}]", row))
                 continue
             self.record_fault(
-                f"{name}[{index}]", f"Expected `object`, got {row!r:.40}", effect
+                f"{name}[{index}]",
+                f"Expected `object`, got {reprlib.repr(row)}",
+                effect,
             )
             readers.append(UNUSABLE)
         return readers
--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import json
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,6 +28,7 @@
 from ..edge.outgoing_sockets import make_outgoing_socket
 from ..edge.response_handler import StrictResponseHandler
 from ..logs import log_warning
+from .json_documents import decode_json
 from .validation import is_readable
 
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -278,7 +278,7 @@
         if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
             return Unavailable(reason=f"status {status}")
         try:
-            document = json.loads(content) if content else None
+            document = decode_json(content) if content else None
         except ValueError:
             return WriteOutcomeUnknown(reason=f"malformed answer of status {status}")
         return _Response(status=status, document=document, era=era)
--- a/src/siskinpier/platform/validation.py
+++ b/src/siskinpier/platform/validation.py
@@ -9,6 +9,8 @@
 _ERROR: Final = re.compile(r"(?P<what>.*?)(?: - at `\$\.?(?P<path>.*)`)?")
 _MISSING: Final = re.compile(r"Object missing required field `(?P<name>.*)`")
 UNREADABLE_TEXT: Final = "text that is not valid Unicode"
+TOO_DEEP: Final = "values nested too deeply"
+UNREADABLE: Final = f"{UNREADABLE_TEXT}, or {TOO_DEEP}"
 
 
 class InvalidValueError(Exception):
@@ -19,6 +21,7 @@
     """Return a value converted to a `msgspec` type, or raise `InvalidValueError`.
 
     JSON can hold lone surrogates, which no encoder accepts: a text with one is invalid.
+    So is a value that is nested too deeply.
     """
     try:
         converted = msgspec.convert(value, kind, strict=strict)
@@ -28,14 +31,20 @@
         raise InvalidValueError(_describe_error(exc)) from exc
     except UnicodeEncodeError as exc:
         raise InvalidValueError(UNREADABLE_TEXT) from exc
+    except RecursionError as exc:
+        raise InvalidValueError(TOO_DEEP) from exc
     return converted
 
 
 def is_readable(document: Any) -> bool:
-    """Return True if all texts of a document are valid Unicode, keys included."""
+    """Return True if a document can be encoded.
+
+    It cannot if a text or a key in it is not valid Unicode, or if its values are nested
+    too deeply.
+    """
     try:
         msgspec.json.encode(document)
-    except UnicodeEncodeError:
+    except (UnicodeEncodeError, RecursionError):
         return False
     return True
 
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -34,6 +34,8 @@
         self.unlisted_kinds: set[str] = set()
         # Delay of each response.
         self.delay_s = 0.0
+        # Bytes that replace others in every response, to send what is no JSON text.
+        self.replacements: dict[bytes, bytes] = {}
         self.refuses: Callable[[str], bool] = lambda peer: False
         self.calls: list[tuple[str, str, dict[str, str]]] = []
 
@@ -157,6 +159,8 @@
 
     async def _reply(self, send: Send, status: int, document: Any) -> None:
         content = json.dumps(document).encode()
+        for old, new in self.replacements.items():
+            content = content.replace(old, new)
         headers = [(b"content-length", str(len(content)).encode())]
         era = self.raw_era
         if era is None and self.era is not None:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -4,6 +4,7 @@
 must pass over what it cannot read, and go on with everything else.
 """
 
+import json
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -18,9 +19,10 @@
 from siskinpier.core.messages import IntentsNotice, RegisteredServer, ServersNotice
 from siskinpier.core.positions import StorePosition
 from siskinpier.edge.codec import decode_message, encode_message
-from siskinpier.platform.configuration import decode_configuration
+from siskinpier.platform.configuration import Configuration, decode_configuration
 from siskinpier.platform.documents import decode_host, decode_server, encode_host
-from siskinpier.platform.store import StoreClient
+from siskinpier.platform.json_documents import decode_json
+from siskinpier.platform.store import ObjectList, StoreClient
 from tests.standins.app_thread import AppThread
 from tests.standins.metadata_store import MetadataStore
 from tests.standins.platform_host import (
@@ -108,6 +110,16 @@
             two.stop()
 
 
+async def list_names(address: str) -> list[str]:
+    """Return the names of the servers that a store lists."""
+    client = StoreClient(address=address)
+    await client.open()
+    listed = await client.list_all("servers")
+    await client.aclose()
+    assert isinstance(listed, ObjectList), listed
+    return [item.name for item in listed.items]
+
+
 class TestUnreadableText:
     """Text that is not valid Unicode ends no process, wherever it stands."""
 
@@ -138,16 +150,8 @@
         store = MetadataStore()
         for name in ("a", UNREADABLE, "z"):
             store.put("servers", name, make_entry("10.0.0.1:80"))
-
-        async def list_names() -> list[str]:
-            client = StoreClient(address=served.address)
-            await client.open()
-            listed = await client.list_all("servers")
-            await client.aclose()
-            return [item.name for item in listed.items]
-
         with AppThread(store) as served:
-            assert anyio.run(list_names) == ["a", "z"]
+            assert anyio.run(list_names, served.address) == ["a", "z"]
 
     def test_hosts_go_on(self, tmp_path: Path) -> None:
         with run_pair(tmp_path) as pair:
@@ -160,3 +164,69 @@
             for spec in make_variants(CONFIG, UNREADABLE):
                 pair.store.put("config", "main", spec)
             pair.add_server("i-3")
+
+
+# Values that the usual decoder of JSON does not decode.
+UNDECODABLE: Final = {
+    "no-text": b'"\xff"',
+    "deep-list": b"[" * 5_000 + b"]" * 5_000,
+    "deep-table": b'{"a":' * 5_000 + b"1" + b"}" * 5_000,
+    "nearly-too-deep-list": b"[" * 900 + b"]" * 900,
+    "long-integer": b"9" * 5_000,
+    "long-negative-integer": b"-" + b"9" * 5_000,
+    "no-number": b"NaN",
+    "infinite": b"-Infinity",
+    "overflow": b"1e999",
+}
+
+
+class TestUndecodableValues:
+    """A value that JSON decoders refuse hides no other entry of the same answer."""
+
+    @pytest.mark.parametrize("name", UNDECODABLE)
+    def test_list(self, name: str) -> None:
+        store = MetadataStore()
+        store.replacements = {b'"@"': UNDECODABLE[name]}
+        for server, slots in (("a", 4), ("b", "@"), ("c", 4)):
+            spec = change(make_entry("10.0.0.1:80"), "info.slots", slots)
+            store.put("servers", server, spec)
+        with AppThread(store) as served:
+            assert anyio.run(list_names, served.address) == ["a", "b", "c"]
+
+    @pytest.mark.parametrize("name", UNDECODABLE)
+    @pytest.mark.parametrize("path", list_paths(ENTRY))
+    def test_entry(self, name: str, path: str) -> None:
+        spec = json.dumps(change(ENTRY, path, "@")).encode()
+        document = decode_json(spec.replace(b'"@"', UNDECODABLE[name]))
+        decoded = decode_server("i-1", document, None)
+        # The version of the server's software is not used.
+        assert path == "info.version" or not isinstance(decoded, RegisteredServer)
+
+    @pytest.mark.parametrize("name", UNDECODABLE)
+    def test_configuration(self, name: str) -> None:
+        settings = make_settings()
+        for variant in make_variants(CONFIG, "@"):
+            spec = json.dumps(variant).encode()
+            document = decode_json(spec.replace(b'"@"', UNDECODABLE[name]))
+            decoded = decode_configuration(document, settings)
+            if variant["version"] != "@":
+                assert isinstance(decoded, Configuration)
+
+    @pytest.mark.parametrize("content", [b"", b"[" * 5_000, b'{"a":1', b"\xff", b"@"])
+    def test_document_that_is_no_json(self, content: bytes) -> None:
+        with pytest.raises(ValueError):
+            decode_json(content)
+
+    def test_hosts_go_on(self, tmp_path: Path) -> None:
+        with run_pair(tmp_path) as pair:
+            marks = {name: f"@{name}@" for name in UNDECODABLE}
+            pair.store.replacements = {
+                json.dumps(marks[name]).encode(): value
+                for name, value in UNDECODABLE.items()
+            }
+            for name, mark in marks.items():
+                spec = change(make_entry(pair.address), "info.slots", mark)
+                pair.store.put("servers", f"other-{name}", spec)
+            pair.add_server("i-2")
+            pair.store.drop_history()
+            pair.add_server("i-3")
