Take a reply without its request's id as no reply on the platform

Cause: probes and requests share connections, and the client compared ids only if a reply had one. A late copy of a probe's reply, which has none, passed for the reply to the next request on the connection; its X-Not-Executed was then believed.

Ruled out: copies of replies to other requests (their id tells), and of a refusal of the same request (a call goes to each server once).

Change: the platform's servers repeat ids, so a reply without the id of its request is a bad reply that proves nothing; a caller's request without an id is refused with 400.

--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -146,11 +146,17 @@
         *,
         peer_tls: ssl.SSLContext | None = None,
         id_field: bytes = CALL_ID_HEADER,
+        echoes_id: bool = False,
         keep_alive_s: float = MAX_IDLE_S,
     ) -> None:
-        """Create a client; a reply whose `id_field` names another call is an error."""
+        """Create a client; a reply whose `id_field` names another call is an error.
+
+        With `echoes_id`, servers repeat the id of every request that has one, so a
+        reply without it belongs to a request without an id, such as a probe.
+        """
         self._peer_tls = peer_tls
         self._id_field = id_field
+        self._echoes_id = echoes_id
         self._keep_alive_s = keep_alive_s
         self._idle_limit = IdleLimit(max_idle_s=keep_alive_s)
         self._session: aiohttp.ClientSession | None = None
@@ -220,12 +226,19 @@
             response=response,
             release=release,
         )
-        reply_id = get_header(reply.headers, self._id_field)
-        if reply_id is not None and reply_id != get_header(headers, self._id_field):
+        if not self._is_reply_to(headers, reply.headers):
             reply.close_connection()
             raise AttemptError(AttemptFailure.BAD_REPLY)
         return reply
 
+    def _is_reply_to(self, request: Headers, reply: Headers) -> bool:
+        """Return True if the header fields of a reply fit those of a request."""
+        reply_id = get_header(reply, self._id_field)
+        request_id = get_header(request, self._id_field)
+        if reply_id is None:
+            return request_id is None or not self._echoes_id
+        return reply_id == request_id
+
     def _release_connection(self, address: str) -> None:
         remaining = self._in_use[address] - 1
         if remaining:
--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -215,6 +215,9 @@
         values = [value for key, value in headers if key == name]
         if len(values) > 1:
             return f"{name.decode()} is given {len(values)} times"
+        if name == REQUEST_ID_HEADER and not (values and values[0].strip()):
+            # Nothing would tell its reply from a late one to a probe.
+            return f"{name.decode()} is missing"
         if name == DEADLINE_HEADER and values and not values[0].isdigit():
             return f"{name.decode()} is not a number of milliseconds"
     return None
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -108,7 +108,7 @@
     writer: NonBlockingHandler,
 ) -> None:
     backends = BackendClient(
-        id_field=REQUEST_ID_HEADER, keep_alive_s=MAX_BACKEND_IDLE_S
+        id_field=REQUEST_ID_HEADER, echoes_id=True, keep_alive_s=MAX_BACKEND_IDLE_S
     )
     await backends.open()
     store = StoreClient(address=settings.store)
