Replace a success without the backend server's signature by 502

What callers saw: a 200 with the right id and without X-Response-Signature was passed on as a success, which callers do not accept.

Change: the adapter replaces a 2xx without signature by 502, which promises nothing.

Evidence: TestCalls::test_success_without_signature_is_no_success failed before (200) and holds.

--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -28,13 +28,19 @@
     send_json,
 )
 from ..edge.shell import Shell
-from .headers import DEADLINE_HEADER, REQUEST_ID_HEADER, RETRY_AFTER_HEADER
+from .headers import (
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
+    SIGNATURE_HEADER,
+)
 
 # Deadline of a request that sets none, and the longest deadline accepted, seconds.
 DEFAULT_DEADLINE_S: Final = 10.0
 MAX_DEADLINE_S: Final = 600.0
 # Statuses that guarantee to callers that a request has not run and never will.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+SUCCESS_STATUSES: Final = range(200, 300)
 MIN_RETRY_AFTER_S: Final = 0.02
 DEFAULT_RETRY_AFTER_S: Final = 0.1
 READINESS_PATH: Final = "/api/readiness"
@@ -128,9 +134,11 @@
         """Return the refusal to send in place of a reply, or None.
 
         A backend server's status must not guarantee to the caller that a request has
-        not run when that is unknown.
+        not run when that is unknown. Callers accept no success without the signature
+        of the server.
         """
-        status = exchange.replies[number].status
+        reply = exchange.replies[number]
+        status = reply.status
         if verdict is Verdict.NOT_RUN:
             return Problem(
                 status=503,
@@ -140,12 +148,10 @@
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
             )
         if status in NOT_RUN_STATUSES:
-            return Problem(
-                status=502,
-                title="The backend server failed",
-                detail=f"status {status}",
-                verdict=verdict,
-            )
+            return _make_server_failed(f"status {status}", verdict)
+        is_signed = get_header(reply.headers, SIGNATURE_HEADER) is not None
+        if status in SUCCESS_STATUSES and not is_signed:
+            return _make_server_failed(f"status {status} without signature", verdict)
         return None
 
     def _add_reply_headers(
@@ -192,6 +198,12 @@
         await send_json(send, 200, document)
 
 
+def _make_server_failed(detail: str, verdict: Verdict) -> Problem:
+    return Problem(
+        status=502, title="The backend server failed", detail=detail, verdict=verdict
+    )
+
+
 def choose_refusal_status(problem: Problem) -> int:
     """Return the status of a refusal, which guarantees no more than its verdict."""
     if problem.verdict is Verdict.NOT_RUN:
--- a/tests/standins/platform_host.py
+++ b/tests/standins/platform_host.py
@@ -105,6 +105,9 @@
             await asyncio.sleep(0.6)
         if self.behavior == "hold":
             await asyncio.sleep(HOLD_S)
+        if self.behavior == "unsigned":
+            await self._reply(send, 200, extra, b"found it")
+            return
         signature = (b"x-response-signature", b"sig")
         if scope["path"].startswith("/export/"):
             await self._stream(send, [*extra, signature])
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -81,6 +81,14 @@
         assert "x-response-signature" not in reply.headers
         assert deployment.count_runs() == 1
 
+    def test_success_without_signature_is_no_success(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.set_behavior("unsigned")
+        reply = deployment.host.send_request("/search/")
+        assert reply.status_code == 502
+        assert b"found it" not in reply.content
+
     def test_safe_call_is_retried_within_its_attempts(
         self, deployment: Deployment
     ) -> None:
