Survive host objects and member records with addresses that are none

What callers would see: one object in the kind of the hosts with the peer address 127.0.0.1:99999 ends every host that contacts it, again after each restart.

Cause: decode_host took any text for an address, and MeshLink.run did not catch the ValueError of the WebSocket client, which ended the process through its task group.

Ruled out: that checking the store's objects is enough; member records of other hosts bring addresses too.

Change: a link treats such an address as unreachable; host objects are used only with IP addresses and ports, names that can stand in a header field, and values in range.

--- a/src/siskinpier/edge/mesh.py
+++ b/src/siskinpier/edge/mesh.py
@@ -58,7 +58,8 @@
             except (
                 OSError,
                 TimeoutError,
-                UnicodeDecodeError,
+                # Another host may report an address that is none.
+                ValueError,
                 websockets.WebSocketException,
             ) as exc:
                 log_event("peer-unreachable", host=self.host, reason=repr(exc))
--- a/src/siskinpier/platform/documents.py
+++ b/src/siskinpier/platform/documents.py
@@ -3,18 +3,25 @@
 A malformed entry is skipped and its reason is returned; other entries are unaffected.
 """
 
+import re
 from dataclasses import dataclass
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Final, Literal
 
 from msgspec import Meta, Struct, field
 
 from ..core.events import ListedHost
 from ..core.messages import RegisteredServer
+from ..settings.addresses import parse_ip_port
 from .settings import AdapterSettings
 from .validation import UNREADABLE, InvalidValueError, convert, is_readable
 
 Seconds = Annotated[float, Meta(ge=0.0, le=604_800.0)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
+# As in a list of callers' addresses; `parse_ip_port` checks the rest.
+AddressText = Annotated[str, Meta(max_length=64)]
+# Names that can stand in a header field.
+_OBJECT_NAME: Final = re.compile(r"[!-~]{1,200}")
+BAD_OBJECT_NAME: Final = "name: not of 1 to 200 visible ASCII characters"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,11 +53,11 @@
 
 
 class _Host(Struct, frozen=True, kw_only=True):
-    failure_domain: str
-    region: str
-    callers: str
-    peers: str
-    strength: float = 1.0
+    failure_domain: Name
+    region: Name
+    callers: AddressText
+    peers: AddressText
+    strength: Annotated[float, Meta(ge=0.0, le=1.0)] = 1.0
 
 
 def decode_server(name: str, spec: Any, status: Any) -> RegisteredServer | Unreadable:
@@ -81,10 +88,15 @@
     """Return the entry host that an object describes, as `encode_host` wrote it."""
     if not is_readable(spec):
         return Unreadable(reason=UNREADABLE)
+    if _OBJECT_NAME.fullmatch(name) is None:
+        return Unreadable(reason=BAD_OBJECT_NAME)
     try:
         host = convert(spec, _Host)
     except InvalidValueError as exc:
         return Unreadable(reason=str(exc))
+    for address in (host.callers, host.peers):
+        if parse_ip_port(address) is None:
+            return Unreadable(reason=f"{address!r} is not an IP address and port")
     return ListedHost(
         name=name,
         failure_domain=host.failure_domain,
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -23,6 +23,7 @@
 from siskinpier.platform.documents import decode_host, decode_server, encode_host
 from siskinpier.platform.json_documents import decode_json
 from siskinpier.platform.store import ObjectList, StoreClient
+from siskinpier.settings.addresses import parse_ip_port
 from tests.standins.app_thread import AppThread
 from tests.standins.metadata_store import MetadataStore
 from tests.standins.platform_host import (
@@ -37,6 +38,13 @@
 # JSON carries a byte that is no text, such as 0xFF, as a lone surrogate.
 UNREADABLE: Final = "\udcff"
 HOSTS_KIND: Final = "siskinpier-hosts"
+HOST: Final = {
+    "failure_domain": "z1",
+    "region": "r1",
+    "callers": "127.0.0.1:1",
+    "peers": "127.0.0.1:2",
+    "strength": 1.0,
+}
 
 
 def list_paths(value: Any, prefix: str = "") -> list[str]:
@@ -91,10 +99,16 @@
         return host.child.poll() is not None or line in host.read_log()
 
 
+def _has_ended_or_is_ready(host: PlatformHost) -> bool:
+    return host.child.poll() is not None or host.is_ready()
+
+
 @contextmanager
-def run_pair(folder: Path) -> Iterator[Pair]:
-    """Run two hosts until they are ready."""
+def run_pair(folder: Path, host_specs: Sequence[Any] = ()) -> Iterator[Pair]:
+    """Run two hosts until they are ready; `host_specs` are objects of other hosts."""
     store = MetadataStore()
+    for number, spec in enumerate(host_specs):
+        store.put(HOSTS_KIND, f"other-{number}", spec)
     with AppThread(store) as served, AppThread(Backend(name="i-1")) as backend:
         store.put("config", "main", CONFIG)
         store.put("servers", "i-1", make_entry(backend.address))
@@ -103,7 +117,8 @@
         two = PlatformHost(folder=folder, store=served.address, name="two", seeds=seeds)
         try:
             for host in (one, two):
-                wait_until(host.is_ready)
+                wait_until(partial(_has_ended_or_is_ready, host))
+                assert host.child.poll() is None, host.read_log()
             yield Pair(store=store, hosts=[one, two], address=backend.address)
         finally:
             one.stop()
@@ -230,3 +245,85 @@
             pair.add_server("i-2")
             pair.store.drop_history()
             pair.add_server("i-3")
+
+
+# Values that are valid JSON, but of a type, range or form that no field has.
+ODD_VALUES: Final[list[Any]] = [
+    None,
+    True,
+    -1,
+    0,
+    1.5,
+    2**53 + 1,
+    2**64,
+    -(2**64),
+    10**30,
+    1e308,
+    "",
+    " ",
+    "a\nb",
+    "a\r\nb: c",
+    "a\x00b",
+    "č",
+    "x" * 200_000,
+    "127.0.0.1:0",
+    "127.0.0.1:99999",
+    "127.0.0.1:80\n",
+    "999.1.1.1:80",
+    ".......:80",
+    "localhost:80",
+    [],
+    [[]],
+    {},
+    {"a": 1},
+]
+
+
+NO_ADDRESSES: Final = ("", "nowhere", "127.0.0.1:99999", "a..b:80", "[::1")
+
+
+def list_odd_variants(document: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return copies of a document with each odd value in place of each field."""
+    return [
+        variant for value in ODD_VALUES for variant in make_variants(document, value)
+    ]
+
+
+class TestOddValues:
+    """An entry is used only if it can be told to other hosts and connected to."""
+
+    @pytest.mark.parametrize(
+        "name", ["", " ", "a b", "a\nb", "a\r\nb: c", "a\x00", "č", "x" * 1_000]
+    )
+    def test_names_of_hosts_that_no_header_field_can_hold(self, name: str) -> None:
+        spec = encode_host(make_settings())
+        assert not isinstance(decode_host(name, spec), ListedHost)
+
+    def test_host_objects(self) -> None:
+        for spec in list_odd_variants(encode_host(make_settings())):
+            decoded = decode_host("x", spec)
+            if isinstance(decoded, ListedHost):
+                assert parse_ip_port(decoded.callers) is not None, spec
+                assert parse_ip_port(decoded.peers) is not None, spec
+                assert 0.0 <= decoded.strength <= 1.0, spec
+                assert 0 < len(decoded.failure_domain) <= 100, spec
+                assert len(decoded.region) <= 100, spec
+
+    def test_configurations(self) -> None:
+        settings = make_settings()
+        for spec in list_odd_variants(CONFIG):
+            decoded = decode_configuration(spec, settings)
+            if isinstance(decoded, Configuration):
+                notice = IntentsNotice(version="1", intents=decoded.intents)
+                assert decode_message(encode_message(notice)) == notice, spec
+
+    def test_hosts_go_on(self, tmp_path: Path) -> None:
+        # A host contacts up to eight hosts at a time that it never heard from.
+        specs = [{**HOST, "peers": address} for address in NO_ADDRESSES]
+        with run_pair(tmp_path, specs) as pair:
+            pair.add_server("i-2")
+            for spec in list_odd_variants(CONFIG):
+                pair.store.put("config", "main", spec)
+            pair.add_server("i-3")
+            for host in pair.hosts:
+                assert host.send_request("/search/").status_code != 500
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -105,6 +105,18 @@
 
         run(test, key)
 
+    @pytest.mark.parametrize(
+        "address", ["127.0.0.1:99999", "", ":", "[::1", "a..b:80", "x" * 300 + ":80"]
+    )
+    def test_address_that_is_none_ends_no_other_link(self, address: str) -> None:
+        async def test(one: Peer, two: Peer) -> None:
+            one.mesh.send("other", address, make_message(1))
+            await anyio.sleep(REFUSAL_WAIT_S)
+            one.mesh.send("two", two.address, make_message(2))
+            await two.wait_for(1)
+
+        run(test)
+
     def test_link_reconnects_to_a_restarted_peer(self) -> None:
         async def test(one: Peer, two: Peer) -> None:
             async with anyio.create_task_group() as tasks:
