Keep the connection of hosts after an unreadable message

What callers would see: grants, ends of slots and registry changes sent right behind an unreadable message were lost with the connection.

Cause: the receiver closed the connection at the first message that it could not decode, though the framing of the next ones is intact.

Change: the message is passed over and logged, once for each new reason in a row.

Evidence: test_unreadable_message_loses_no_other, 4 cases, waited for lost messages before (ended after 40 s) and hold.

--- a/src/siskinpier/edge/mesh.py
+++ b/src/siskinpier/edge/mesh.py
@@ -195,10 +195,14 @@
         except (OSError, TimeoutError, websockets.WebSocketException) as exc:
             log_event("peer-refused", reason=repr(exc))
             return
+        logged_reason = ""
         try:
             async for data in conn:
-                if not self._handle_data(peer, data):
-                    return
+                refusal = self._handle_data(peer, data)
+                # A host of another version may send many messages of the same kind.
+                if refusal is not None and refusal.reason != logged_reason:
+                    logged_reason = refusal.reason
+                    log_event("peer-message-refused", host=peer, reason=logged_reason)
         except websockets.WebSocketException:
             return
 
@@ -220,18 +224,19 @@
         await conn.send(own_proof + self.name.encode())
         return name
 
-    def _handle_data(self, peer: str, data: str | bytes) -> bool:
-        """Pass on a received message; return False if the connection must be closed."""
+    def _handle_data(self, peer: str, data: str | bytes) -> CodecError | None:
+        """Pass on a received message; return why it is unreadable, or None.
+
+        The messages after an unreadable one are unaffected, so the connection stays.
+        """
         if isinstance(data, str):
-            log_event("peer-message-refused", host=peer, reason="text frame")
-            return False
+            return CodecError(reason="text frame")
         self.bytes_received += len(data)
         message = decode_message(data)
         if isinstance(message, CodecError):
-            log_event("peer-message-refused", host=peer, reason=message.reason)
-            return False
+            return message
         self._handle_message(peer, message)
-        return True
+        return None
 
     def _sign(
         self, role: bytes, first_nonce: bytes, second_nonce: bytes, name: str
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -12,6 +12,7 @@
 import pytest
 
 from siskinpier.core.messages import IntentsRequest, Message
+from siskinpier.edge.codec import encode_message
 from siskinpier.edge.mesh import Mesh
 from tests.standins.process import HANG_TIMEOUT_S
 
@@ -85,6 +86,20 @@
 
         anyio.run(main)
 
+    @pytest.mark.parametrize(
+        "data", [b"", b"\xff", b"[" * 9_000, encode_message(make_message(2))[:-2]]
+    )
+    def test_unreadable_message_loses_no_other(self, data: bytes) -> None:
+        async def test(one: Peer, two: Peer) -> None:
+            one.mesh.send("two", two.address, make_message(1))
+            one.mesh._links["two"].push(data)
+            for number in range(2, 50):
+                one.mesh.send("two", two.address, make_message(number))
+            await two.wait_for(49)
+            assert two.received == [("one", make_message(n)) for n in range(1, 50)]
+
+        run(test)
+
     def test_seed_peer_is_reached_without_its_name(self) -> None:
         async def test(one: Peer, two: Peer) -> None:
             one.mesh.send("", two.address, make_message(1))
