Treat a reply that cannot be sent on as a bad reply

What callers saw: a 500 of the host's own where a backend server had answered with a status such as 600 or 101, or with a control character in a field, and no other attempt for requests that may be repeated.

Cause: the client library accepts such heads, the server of callers does not write them, and the error came after the core had counted the reply as good.

Change: statuses outside 200 to 599 and control characters in fields make a bad reply before the core hears of it.

Evidence: test_head_that_cannot_be_sent_on, 5 of 5 failed before and hold.

--- a/src/siskinpier/edge/backends.py
+++ b/src/siskinpier/edge/backends.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import re
 import ssl
 import time
 from collections.abc import AsyncIterator, Callable
@@ -35,6 +36,10 @@
 # reading until the caller has taken some of it.
 READ_BUFFER_BYTES: Final = 16_384
 
+FINAL_STATUSES: Final = range(200, 600)
+# Those that a header field must not hold; a tab is allowed.
+_CONTROL_CHARACTERS: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
 
 class AttemptError(Exception):
     """An attempt failed in the way that `failure` names."""
@@ -226,7 +231,7 @@
             response=response,
             release=release,
         )
-        if not self._is_reply_to(headers, reply.headers):
+        if not _is_forwardable(reply) or not self._is_reply_to(headers, reply.headers):
             reply.close_connection()
             raise AttemptError(AttemptFailure.BAD_REPLY)
         return reply
@@ -292,6 +297,14 @@
             )
 
 
+def _is_forwardable(reply: BackendReply) -> bool:
+    """Return True if the server of callers can send the head of a reply on."""
+    return reply.status in FINAL_STATUSES and not any(
+        _CONTROL_CHARACTERS.search(name) or _CONTROL_CHARACTERS.search(value)
+        for name, value in reply.headers
+    )
+
+
 def clean_reply_headers(headers: Headers) -> Headers:
     """Return the header fields of a reply that are passed on to the caller."""
     return strip_hop_by_hop(headers)
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -118,6 +118,16 @@
         await client.aclose()
 
 
+# Heads that the client library accepts, and that no server of callers can send on.
+NO_REPLIES: Final = {
+    "switch": HEAD % (b"101 Switching", 3, b"X-Request-Id: r1\r\n", b"own"),
+    "status-600": HEAD % (b"600 Odd", 3, b"X-Request-Id: r1\r\n", b"own"),
+    "status-999": HEAD % (b"999 Odd", 3, b"X-Request-Id: r1\r\n", b"own"),
+    "control": HEAD % (b"200 OK", 3, b"X-Request-Id: r1\r\nX-A: \x01\r\n", b"own"),
+    "delete": HEAD % (b"200 OK", 3, b"X-Request-Id: r1\r\nX-A: \x7f\r\n", b"own"),
+}
+
+
 class TestClient:
     """Only a reply with the id of a request is the reply to it."""
 
@@ -126,6 +136,11 @@
         result = anyio.run(send_probe_then_request, COPIES[name])
         assert result is AttemptFailure.BAD_REPLY
 
+    @pytest.mark.parametrize("name", NO_REPLIES)
+    def test_head_that_cannot_be_sent_on(self, name: str) -> None:
+        result = anyio.run(send_probe_then_request, NO_REPLIES[name])
+        assert result is AttemptFailure.BAD_REPLY
+
     def test_own_reply(self) -> None:
         assert anyio.run(send_probe_then_request, b"") == 200
 
