--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import reprlib
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -341,10 +342,12 @@
         metadata = {}
     name, revision = metadata.get("name"), metadata.get("revision")
     if not isinstance(name, str) or not is_readable(name):
-        log_warning("object-unreadable", name=f"{name!r:.80}")
+        log_warning("object-unreadable", name=reprlib.repr(name))
         return None
     if not isinstance(revision, int):
-        log_warning("object-unreadable", name=name[:80], revision=f"{revision!r:.40}")
+        log_warning(
+            "object-unreadable", name=name[:80], revision=reprlib.repr(revision)
+        )
         return None
     return StoreObject(
         name=name,
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -208,6 +208,30 @@
         with AppThread(store) as served:
             assert anyio.run(list_names, served.address) == ["a", "b", "c"]
 
+    @pytest.mark.parametrize("value", UNDECODABLE)
+    @pytest.mark.parametrize("field", ["name", "revision"])
+    def test_metadata(self, value: str, field: str) -> None:
+        store = MetadataStore()
+        store.replacements = {b'"@"': UNDECODABLE[value]}
+        for server in ("a", "b", "c"):
+            store.put("servers", server, make_entry("10.0.0.1:80"))
+        store.objects["servers", "b"]["metadata"][field] = "@"
+        with AppThread(store) as served:
+            names = anyio.run(list_names, served.address)
+        assert (names[0], names[-1]) == ("a", "c")
+
+    def test_metadata_around_the_limit_of_the_decoder(self) -> None:
+        store = MetadataStore()
+        for depth in range(900, 1_000):
+            name = f"b-{depth}"
+            store.put("servers", name, make_entry("10.0.0.1:80"))
+            store.objects["servers", name]["metadata"]["name"] = f"@{depth}@"
+            mark = f'"@{depth}@"'.encode()
+            store.replacements[mark] = b"[" * depth + b"]" * depth
+        store.put("servers", "c", make_entry("10.0.0.1:80"))
+        with AppThread(store) as served:
+            assert anyio.run(list_names, served.address) == ["c"]
+
     @pytest.mark.parametrize("name", UNDECODABLE)
     @pytest.mark.parametrize("path", list_paths(ENTRY))
     def test_entry(self, name: str, path: str) -> None:
