Let every configuration of the platform fit into one message

Cause: as a CBOR message it is 1,137,160 bytes long, as each route names all its fields and its virtual host again, and a message may have 1 MiB. The receiver closes the connection each time; the relay sends again.

Change: texts that stand more than once in this message are CBOR string references, and the limit is 4 MiB, above the longest form of a 1 MiB configuration (2.3 MB).

--- a/src/siskinpier/edge/codec.py
+++ b/src/siskinpier/edge/codec.py
@@ -29,7 +29,8 @@
 )
 
 PROTOCOL_VERSION: Final = 6
-MESSAGE_LIMIT_BYTES: Final = 1_048_576
+# The largest configuration has 1 MiB of JSON, and takes more as a message.
+MESSAGE_LIMIT_BYTES: Final = 4_194_304
 
 _MESSAGE_TYPES: Final[dict[str, type[Any]]] = {
     "heartbeat": Heartbeat,
@@ -89,10 +90,18 @@
 
 
 def encode_message(message: Message) -> bytes:
-    """Return the message as CBOR: protocol version, type name, field values."""
+    """Return the message as CBOR: protocol version, type name, field values.
+
+    In a message with routing intents, a text that stands more than once, such as the
+    name of a field, is replaced by a CBOR string reference, which decoders resolve.
+    """
     name = _TYPE_NAMES[type(message)]
     values = [getattr(message, field) for field in _FIELDS[name]]
-    return cbor2.dumps([PROTOCOL_VERSION, name, values], default=_encode_inner)
+    return cbor2.dumps(
+        [PROTOCOL_VERSION, name, values],
+        default=_encode_inner,
+        string_referencing=isinstance(message, IntentsNotice),
+    )
 
 
 def _encode_inner(encoder: cbor2.CBOREncoder, value: Any) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -5,6 +5,7 @@
 out of range.
 """
 
+import json
 from dataclasses import asdict, replace
 from typing import Any
 
@@ -13,6 +14,7 @@
 from hypothesis import given, strategies as st
 
 from bench.cluster_costs import make_intents
+from siskinpier.core.configuration.intents import RoutingIntents
 from siskinpier.core.messages import (
     Heartbeat,
     IntentsNotice,
@@ -28,6 +30,8 @@
     decode_message,
     encode_message,
 )
+from siskinpier.platform.configuration import Configuration, decode_configuration
+from tests.test_platform_documents import make_settings
 
 RECORD = MemberRecord(
     host="host-1",
@@ -66,6 +70,52 @@
         assert decode_message(encode_message(message)) == message
 
 
+VALUE_LIMIT_BYTES = 1_048_576  # of one object of the platform
+FULL_RULE: dict[str, Any] = {
+    "name": "r",
+    "kind": "safe",
+    "priority": 1,
+    "targetLatencyS": 0.5,
+    "match": {},
+    "action": {"service": "s", "timeoutS": 2.0, "attempts": 2},
+}
+# Host names and rules of configurations that grow most when they are encoded.
+LARGE_CONFIGURATIONS: dict[str, tuple[str, dict[str, Any]]] = {
+    "usual": ("app.example", FULL_RULE),
+    "long-host": ("h" * 100, {"match": {}, "action": {"service": "s"}}),
+    "short-rules": ("h", {"match": {}, "action": {"service": "s"}}),
+    "suspended-rules": ("h" * 100, {"match": {}}),
+}
+
+
+def make_large_intents(name: str) -> RoutingIntents:
+    """Return intents read from a configuration as large as the platform allows."""
+    host, rule = LARGE_CONFIGURATIONS[name]
+    rules = []
+    size = 500
+    while size < VALUE_LIMIT_BYTES:
+        rules.append({**rule, "match": {"pathPrefix": f"/{len(rules):x}/"}})
+        size += len(json.dumps(rules[-1], separators=(",", ":"))) + 1
+    spec = {
+        "version": "00000001",
+        "listeners": [{"host": host, "rules": rules[:-1]}],
+        "clusters": [{"name": "s"}],
+    }
+    assert len(json.dumps(spec, separators=(",", ":"))) <= VALUE_LIMIT_BYTES
+    decoded = decode_configuration(spec, make_settings())
+    assert isinstance(decoded, Configuration)
+    return decoded.intents
+
+
+class TestLargeConfigurations:
+    """Each configuration that the platform stores can be told to other hosts."""
+
+    @pytest.mark.parametrize("name", LARGE_CONFIGURATIONS)
+    def test_round_trip(self, name: str) -> None:
+        notice = IntentsNotice(version="9", intents=make_large_intents(name))
+        assert decode_message(encode_message(notice)) == notice
+
+
 class TestRefusal:
     """Bytes that are no message of this protocol give an error, not an exception."""
 
