Encode a message to many hosts once

Cause: the mesh encoded the message anew for each receiver.

Change: the mesh keeps the bytes of the message that it encoded last; messages are frozen data.

Evidence: test_message_to_many_hosts_is_encoded_once failed before and holds.

--- a/src/siskinpier/edge/mesh.py
+++ b/src/siskinpier/edge/mesh.py
@@ -117,6 +117,9 @@
         self.handle_refusal = handle_refusal
         self._links: dict[str, MeshLink] = {}
         self._tasks: TaskGroup | None = None
+        # The message encoded last, and its bytes.
+        self._encoded_message: Message | None = None
+        self._encoded_data = b""
 
     async def serve(self, sock: socket.socket, tasks: TaskGroup) -> None:
         """Accept connections of peers until cancelled."""
@@ -145,7 +148,14 @@
             self._links[key] = link
             if self._tasks is not None:
                 self._tasks.start_soon(self._run_link, link)
-        link.push(encode_message(message))
+        link.push(self._encode(message))
+
+    def _encode(self, message: Message) -> bytes:
+        """Encode a message, once if it is sent to several hosts in a row."""
+        if message is not self._encoded_message:
+            self._encoded_message = message
+            self._encoded_data = encode_message(message)
+        return self._encoded_data
 
     async def open(self, host: str, address: str) -> websockets.ClientConnection:
         """Connect to a peer; both sides authenticate themselves."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -12,6 +12,7 @@
 import pytest
 
 from siskinpier.core.messages import IntentsRequest, Message
+from siskinpier.edge import mesh
 from siskinpier.edge.codec import encode_message
 from siskinpier.edge.mesh import Mesh
 from tests.standins.process import HANG_TIMEOUT_S
@@ -73,6 +74,27 @@
 
         run(test)
 
+    def test_message_to_many_hosts_is_encoded_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        encoded: list[Message] = []
+
+        def encode(message: Message) -> bytes:
+            encoded.append(message)
+            return encode_message(message)
+
+        monkeypatch.setattr(mesh, "encode_message", encode)
+
+        async def test(one: Peer, two: Peer) -> None:
+            first, second = make_message(1), make_message(2)
+            for message in (first, first, first, second, first):
+                one.mesh.send("two", two.address, message)
+            await two.wait_for(5)
+            assert [m for _, m in two.received] == [first, first, first, second, first]
+
+        run(test)
+        assert encoded == [make_message(1), make_message(2), make_message(1)]
+
     def test_message_sent_before_the_mesh_serves_arrives(self) -> None:
         async def main() -> None:
             one, two = Peer(name="one"), Peer(name="two")
