--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -166,7 +166,7 @@
     def test_status_and_body(self, url: str, method: str, status: int) -> None:
         with httpx.Client(trust_env=False, timeout=HANG_TIMEOUT_S) as client:
             reply = client.request(method, f"{url}/x?status={status}")
-            assert reply.status_code == status
+            assert reply.status_code == status, reply.text
             has_body = method != "HEAD" and status not in (204, 304)
             assert bool(reply.content) == has_body
             # A reply without a body must not shift the responses after it.
