Split the queue of a service out of the dispatch of calls

dispatch.py was the largest module (441 lines): it chose targets and also decided which calls wait, which are refused and which leave the queue.

--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -14,7 +14,7 @@
 from ..events import ServersChanged, ServersListed
 from ..messages import RegisteredServer, ServerNotice, ServersNotice
 from ..positions import StorePosition
-from ..routing.dispatch import dispatch_queued_calls, redispatch_blocked_calls
+from ..routing.queueing import dispatch_queued_calls, redispatch_blocked_calls
 from ..state import HostState
 from .eras import exclude_departed, record_departed, record_new_era
 from .held_entries import hold_missing, merge_held, remove_expired_holds
--- a/src/siskinpier/core/cluster/shutdown.py
+++ b/src/siskinpier/core/cluster/shutdown.py
@@ -5,7 +5,7 @@
 from ..claims.owner import flush_shards, has_unwritten_changes
 from ..effects import Effect, LogDecision, SetTimer, StopHost
 from ..routing.arrivals import end_all_calls
-from ..routing.dispatch import dispatch_queued_calls
+from ..routing.queueing import dispatch_queued_calls
 from ..state import HostState, Lifecycle
 from ..timers import ShutdownCheckDue
 from .heartbeats import run_heartbeat
--- a/src/siskinpier/core/configuration/updates.py
+++ b/src/siskinpier/core/configuration/updates.py
@@ -27,7 +27,7 @@
     WriteAccepted,
     WriteOutcomeUnknown,
 )
-from ..routing.dispatch import dispatch_queued_calls
+from ..routing.queueing import dispatch_queued_calls
 from ..routing.routes import make_route_table
 from ..state import HostState, PendingOrder
 from ..timers import OrderRetry
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -95,7 +95,7 @@
     SpareNotice,
 )
 from .routing.arrivals import expire_call, handle_call_arrived, handle_call_cancelled
-from .routing.dispatch import dispatch_queued_calls, handle_spare_notice
+from .routing.dispatch import handle_spare_notice
 from .routing.forwarding import handle_spare_notice_due
 from .routing.hedging import handle_hedge_due
 from .routing.probing import handle_probe_answered, run_probing
@@ -106,6 +106,7 @@
     handle_release_order,
     suspect_crash,
 )
+from .routing.queueing import dispatch_queued_calls
 from .routing.replies import (
     handle_attempt_failed,
     handle_reply_finished,
--- a/src/siskinpier/core/routing/arrivals.py
+++ b/src/siskinpier/core/routing/arrivals.py
@@ -21,8 +21,9 @@
 from ..verdict import Problem, Verdict
 from .attempts import cancel_attempts, record_missed_deadline
 from .calls import ActiveCall, Call, Stage
-from .dispatch import dispatch_call, dispatch_queued_calls, refuse_waiting_call
+from .dispatch import dispatch_call
 from .quarantine import find_quarantine_refusal
+from .queueing import dispatch_queued_calls, refuse_waiting_call
 from .refusals import (
     get_untracked_verdict,
     refuse_call,
--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -1,67 +1,33 @@
 """Dispatch of calls to a backend server, to another home, or into the queue."""
 
 from math import inf
-from typing import Final
 
-from ..effects import Effect, LogDecision, SetTimer
+from ..effects import Effect
 from ..messages import SpareNotice
-from ..problems import (
-    make_no_server,
-    make_overloaded,
-    make_retry_budget_exhausted,
-    make_servers_paused,
-)
+from ..problems import make_no_server, make_retry_budget_exhausted
 from ..state import HostState, ServiceRuntime
-from ..timers import CallDeadline, QueueReviewDue, SlowServersAllowedDue
-from ..verdict import Problem
-from .admission import (
-    estimate_retry_after_s,
-    estimate_wait_s,
-    is_deadline_unlikely,
-    is_not_worth_queueing,
-)
-from .attempts import (
-    cancel_attempts,
-    forward_call,
-    restore_deadline_timer,
-    send_attempt,
-)
-from .balance import (
-    ServerRuntime,
-    choose_server,
-    has_free_slot,
-    has_tried_all,
-    is_draining,
-)
-from .calls import ActiveCall, Stage
-from .candidates import (
-    FAST_SERVER_WAIT_S,
-    choose_candidate,
-    choose_owned_server,
-    estimate_answer_s,
-)
-from .cross_domain import can_cross_domains, is_cross_domain_worthwhile
+from .admission import estimate_wait_s
+from .attempts import forward_call, send_attempt
+from .balance import choose_server, has_tried_all
+from .calls import ActiveCall
+from .candidates import FAST_SERVER_WAIT_S, choose_owned_server
+from .cross_domain import can_cross_domains
 from .forwarding import (
     choose_peer_home,
     list_forwardable_calls,
     record_spare_notice,
     report_spare_slots,
 )
-from .pauses import find_pause_end
-from .quarantine import find_quarantine_refusal
+from .queueing import (
+    dispatch_queued_calls,
+    enqueue_call,
+    push_to_queue,
+    refuse_if_quarantined,
+)
 from .refusals import refuse_call, remove_call
 from .retry_budget import credit_budgets_once
-from .run_times import get_typical_run_s
-from .slot_requests import request_slot, request_spare_slot
+from .slot_requests import request_slot
 from .speed_checks import ServerChoice, send_or_check
-from .speeds import is_slow
-
-# Number of calls at the head of the queue that are considered for a free slot.
-MAX_SCANNED_CALLS: Final = 8
-# How often a queue is reviewed while slow servers have free slots, in seconds.
-QUEUE_REVIEW_INTERVAL_S: Final = 0.1
-# Share of the time to its deadline after which a waiting call is refused.
-MAX_WAIT_SHARE: Final = 0.5
 
 
 def dispatch_call(
@@ -77,7 +43,7 @@
         active.accepts_slow_from = now + FAST_SERVER_WAIT_S
     server = choose_owned_server(service, active, now)
     if server is not None and len(service.queue) > 0:
-        _push_to_queue(service, active, now, out)
+        push_to_queue(service, active, now, out)
         dispatch_queued_calls(state, service, now, out)
         return
     if server is not None:
@@ -99,7 +65,7 @@
     if not service.owned:
         _send_without_home(state, service, active, now, out)
         return
-    _enqueue(state, service, active, now, out)
+    enqueue_call(state, service, active, now, out)
     report_spare_slots(state, service, now, out)
 
 
@@ -116,39 +82,6 @@
     return not service.owned and not has_tried_all(servers, tried, now)
 
 
-def dispatch_queued_calls(
-    state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
-) -> None:
-    """Send waiting calls while backend servers have free slots."""
-    # A host whose servers went to another owner still serves the calls it queued.
-    servers = service.owned or list(service.servers.values())
-    while len(service.queue) > 0 and any(has_free_slot(s, now) for s in servers):
-        found = _find_next_call(state, service, servers, now, out)
-        if found is None:
-            break
-        active, server = found
-        service.queue.remove(active)
-        if _refuse_quarantined(state, active, now, out):
-            continue
-        choice = ServerChoice(server=server, reason="queued")
-        send_or_check(state, service, active, choice, now, out)
-    _schedule_review(service, now, out)
-    report_spare_slots(state, service, now, out)
-
-
-def _schedule_review(service: ServiceRuntime, now: float, out: list[Effect]) -> None:
-    """Schedule a review of the queue if slow servers have free slots.
-
-    There may be no other event in time, and the choice changes with the length of a
-    slow period.
-    """
-    if len(service.queue) == 0:
-        return
-    if any(is_slow(s, now) and has_free_slot(s, now) for s in service.owned):
-        timer = QueueReviewDue(service=service.intent.name)
-        out.append(SetTimer(timer=timer, at=now + QUEUE_REVIEW_INTERVAL_S))
-
-
 def handle_spare_notice(
     state: HostState,
     notice: SpareNotice,
@@ -165,91 +98,11 @@
         if sender in active.list_tried_targets():
             continue
         service.queue.remove(active)
-        if not _refuse_quarantined(state, active, now, out):
+        if not refuse_if_quarantined(state, active, now, out):
             forward_call(service, active, peer, now, out)
     report_spare_slots(state, service, now, out)
 
 
-def _refuse_quarantined(
-    state: HostState, active: ActiveCall, now: float, out: list[Effect]
-) -> bool:
-    """Refuse a call if it was quarantined while it waited; return True if it was."""
-    problem = find_quarantine_refusal(state, active.call, now)
-    if problem is None:
-        return False
-    remove_call(state, active, out)
-    refuse_call(active, problem, out)
-    return True
-
-
-def _find_next_call(
-    state: HostState,
-    service: ServiceRuntime,
-    servers: list[ServerRuntime],
-    now: float,
-    out: list[Effect],
-) -> tuple[ActiveCall, ServerRuntime] | None:
-    """Return the first waiting call that can be sent, with its server, or None.
-
-    A call that has tried the servers with free slots does not block those behind it.
-    """
-    _demote_late_calls(state, service, now, out)
-    for call_id in service.queue.get_call_ids(last=MAX_SCANNED_CALLS):
-        active = state.calls[call_id]
-        server = choose_candidate(service, servers, active, now)
-        if server is not None:
-            return active, server
-    return None
-
-
-def refuse_waiting_call(
-    state: HostState,
-    service: ServiceRuntime,
-    active: ActiveCall,
-    now: float,
-    out: list[Effect],
-) -> None:
-    """Refuse a call that waited too long, while its caller can still retry."""
-    cancel_attempts(state, active, out)
-    remove_call(state, active, out)
-    refuse_call(active, _make_overloaded(service, active, now), out)
-
-
-def _get_wait_limit(active: ActiveCall) -> float:
-    """Return the time at which a call is refused if it still waits then.
-
-    By then half the time to its deadline and its latency objective have both passed.
-    """
-    half_time = active.arrived + MAX_WAIT_SHARE * (
-        active.call.deadline - active.arrived
-    )
-    return min(active.call.deadline, max(active.arrived + active.aim_s, half_time))
-
-
-def _demote_late_calls(
-    state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
-) -> None:
-    """Move late calls from the head of the queue behind the calls that are not late.
-
-    A call is late if it cannot meet its latency objective; it is refused if it is also
-    unlikely to be answered before its deadline.
-    """
-    while (call_id := service.queue.peek()) is not None:
-        active = state.calls[call_id]
-        entry = active.queue_entry
-        if (
-            entry is None
-            or entry[1]
-            or not active.is_late(get_typical_run_s(service, active), now)
-        ):
-            return
-        service.queue.remove(active)
-        if is_not_worth_queueing(service, active, now):
-            refuse_waiting_call(state, service, active, now, out)
-        else:
-            service.queue.push(active, is_late=True)
-
-
 def _estimate_own_wait_s(
     service: ServiceRuntime, active: ActiveCall, now: float
 ) -> float:
@@ -288,154 +141,3 @@
             return
     remove_call(state, active, out)
     refuse_call(active, make_no_server(active.call.service, active.worst_verdict), out)
-
-
-def _enqueue(
-    state: HostState,
-    service: ServiceRuntime,
-    active: ActiveCall,
-    now: float,
-    out: list[Effect],
-) -> None:
-    if not _has_usable_server(service):
-        problem = make_no_server(active.call.service, active.worst_verdict)
-        _request_slot_or_refuse(state, service, active, problem, now, out)
-        return
-    pause_end = find_pause_end(service.owned, active, now)
-    if pause_end is not None and _is_pause_too_long(service, active, pause_end):
-        problem = make_servers_paused(
-            active.call.service, pause_end - now, active.worst_verdict
-        )
-        _request_slot_or_refuse(state, service, active, problem, now, out)
-        return
-    deadline = active.call.deadline
-    if active.aim_s > 0.0 and state.settings.grants_slots:
-        is_late = is_not_worth_queueing(service, active, now)
-    else:
-        is_late = is_deadline_unlikely(service, active.urgency, deadline, now)
-    is_full = len(service.queue) >= service.intent.queue_limit
-    if is_late or (
-        is_full and not _evict_less_urgent(state, service, active, now, out)
-    ):
-        problem = _make_overloaded(service, active, now)
-        _request_slot_or_refuse(state, service, active, problem, now, out)
-        return
-    _push_to_queue(service, active, now, out)
-    if active.accepts_slow_from > now and not active.holder:
-        expected_s = estimate_answer_s(service, active, now)
-        typical_run_s = get_typical_run_s(service, active)
-        if is_cross_domain_worthwhile(active, expected_s, typical_run_s, now):
-            request_spare_slot(state, service, active, now, out)
-
-
-def redispatch_blocked_calls(
-    state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
-) -> None:
-    """Dispatch waiting calls again that no owned server will take.
-
-    All owned servers are draining, or requested pauses from the holders of the calls.
-    """
-    if not service.owned:
-        return
-    is_usable = _has_usable_server(service)
-    for call_id in service.queue.get_call_ids():
-        active = state.calls[call_id]
-        pause_end = find_pause_end(service.owned, active, now)
-        is_too_long = pause_end is not None and _is_pause_too_long(
-            service, active, pause_end
-        )
-        if is_usable and not is_too_long:
-            continue
-        service.queue.remove(active)
-        restore_deadline_timer(active, out)
-        _enqueue(state, service, active, now, out)
-
-
-def _has_usable_server(service: ServiceRuntime) -> bool:
-    return any(not is_draining(server) for server in service.owned)
-
-
-def _is_pause_too_long(
-    service: ServiceRuntime, active: ActiveCall, pause_end: float
-) -> bool:
-    """Return True if a call would be late after waiting for the end of the pause.
-
-    Late is after the latency objective or, if there is none, after the deadline.
-    """
-    typical_run_s = get_typical_run_s(service, active)
-    if active.aim_s == 0.0:
-        return pause_end + typical_run_s > active.call.deadline
-    return active.is_late(typical_run_s, pause_end)
-
-
-def _request_slot_or_refuse(
-    state: HostState,
-    service: ServiceRuntime,
-    active: ActiveCall,
-    problem: Problem,
-    now: float,
-    out: list[Effect],
-) -> None:
-    """Request a slot from another home, or refuse the call with `problem`."""
-    is_own = active.call.hops == 0 and state.settings.grants_slots
-    if is_own and request_slot(state, service, active, now, out):
-        return
-    remove_call(state, active, out)
-    refuse_call(active, problem, out)
-
-
-def _push_to_queue(
-    service: ServiceRuntime, active: ActiveCall, now: float, out: list[Effect]
-) -> None:
-    active.stage = Stage.QUEUED
-    if len(service.queue) == 0:
-        service.queued_since = now
-    service.queue.push(
-        active, is_late=active.is_late(get_typical_run_s(service, active), now)
-    )
-    _schedule_review(service, now, out)
-    if active.aim_s > 0.0:
-        # The call is refused once half its time is over and its objective missed;
-        # `send_attempt` restores the timer.
-        active.has_wait_limit = True
-        limit_timer = CallDeadline(call_id=active.call.call_id)
-        out.append(SetTimer(timer=limit_timer, at=_get_wait_limit(active)))
-    if active.accepts_slow_from > now:
-        slow_timer = SlowServersAllowedDue(service=active.call.service)
-        out.append(SetTimer(timer=slow_timer, at=active.accepts_slow_from))
-    out.append(
-        LogDecision(
-            event="queue",
-            fields={
-                "call": active.call.call_id,
-                "service": active.call.service,
-                "urgency": active.urgency,
-                "length": len(service.queue),
-            },
-        )
-    )
-
-
-def _evict_less_urgent(
-    state: HostState,
-    service: ServiceRuntime,
-    active: ActiveCall,
-    now: float,
-    out: list[Effect],
-) -> bool:
-    """Refuse the last waiting call if it is less urgent; return False if it is not."""
-    last = service.queue.peek_last()
-    if last is None or last[0] <= active.urgency:
-        return False
-    evicted = state.calls[last[1]]
-    service.queue.remove(evicted)
-    remove_call(state, evicted, out)
-    refuse_call(evicted, _make_overloaded(service, evicted, now), out)
-    return True
-
-
-def _make_overloaded(
-    service: ServiceRuntime, active: ActiveCall, now: float
-) -> Problem:
-    retry_after_s = estimate_retry_after_s(service, now)
-    return make_overloaded(active.call.service, retry_after_s, active.worst_verdict)
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -15,7 +15,6 @@
     release_slot,
 )
 from .calls import ActiveCall, Attempt, Stage
-from .dispatch import dispatch_queued_calls
 from .health import record_success
 from .hedging import (
     cancel_other_attempt,
@@ -23,6 +22,7 @@
     update_hedge_delay,
 )
 from .last_slots import record_run
+from .queueing import dispatch_queued_calls
 from .refusals import refuse_call, remove_call
 from .retrying import record_verdict, retry_if_allowed
 from .run_times import record_run_time
--- a/src/siskinpier/core/routing/server_availability.py
+++ b/src/siskinpier/core/routing/server_availability.py
@@ -5,8 +5,8 @@
 from ..effects import Effect
 from ..state import HostState, ServiceRuntime
 from .balance import ServerRuntime
-from .dispatch import redispatch_blocked_calls
 from .pauses import record_pause
+from .queueing import redispatch_blocked_calls
 
 
 def record_leaving_flag(
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -39,10 +39,11 @@
 from .calls import ActiveCall, Attempt, Call, Grant, Stage
 from .candidates import FAST_SERVER_WAIT_S, choose_fast_server
 from .cross_domain import is_cross_domain_worthwhile
-from .dispatch import dispatch_call, dispatch_queued_calls
+from .dispatch import dispatch_call
 from .health import record_success
 from .hedging import update_hedge_delay
 from .last_slots import record_run
+from .queueing import dispatch_queued_calls
 from .refusals import refuse_call, remove_call
 from .retry_budget import credit_budgets
 from .run_times import record_run_time
--- a/src/siskinpier/core/routing/speed_changes.py
+++ b/src/siskinpier/core/routing/speed_changes.py
@@ -6,9 +6,9 @@
 from ..state import HostState, ServiceRuntime
 from .balance import ServerRuntime
 from .calls import LoadReport
-from .dispatch import dispatch_queued_calls
 from .hedging import hedge_slowed_calls
 from .load_reports import record_load_report
+from .queueing import dispatch_queued_calls
 from .speeds import is_slow
 
 # Longest time between two reports that is counted, in seconds.
