--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Number of new seeds that `make soak` runs.
 SEEDS ?= 10
 PYTHON := $(VENV)/bin/python
-SOURCES := $(wildcard src tests bench soak)
+SOURCES := $(wildcard src tests bench soak deploy)
 export PYTHONPATH := src:.
 
 .PHONY: soak soak-planted test format lint demo binary bench bench-quick capacity lock
@@ -26,6 +26,7 @@
 	$(PYTHON) -m ruff check $(SOURCES)
 	$(PYTHON) -m mypy
 	$(PYTHON) -m mypy --package bench --package soak
+	$(PYTHON) -m mypy deploy/build_deps.py
 
 demo: $(VENV)/installed
 	$(PYTHON) -m bench.demo
--- a/src/siskinpier/platform/__main__.py
+++ b/src/siskinpier/platform/__main__.py
@@ -6,12 +6,19 @@
 
 import gc
 import os
+import sys
 
 # Loading modules leaves no garbage to collect.
 gc.disable()
 # All connections here are plain HTTP, but a client library would load the system's
 # certificates when it is imported.
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+# The module path leads over a link that a build may replace while the host runs; all
+# modules must come from the same build.
+sys.path[:] = map(os.path.realpath, sys.path)
+for name in ("siskinpier", "siskinpier.platform"):
+    package = sys.modules[name]
+    package.__path__ = [os.path.realpath(path) for path in package.__path__]
 
 from .process import main  # noqa: E402
 
