Do not count the rest of a refused body as the next head

A caller whose large body was refused early (404, 503, 504) got a second answer, 431, on the same connection: the bytes of the body that were still to come were counted as those of the next head. The caller took it for the answer to its next call, and calls are not repeated after 431.

Bytes of a body whose call is answered are now discarded without being counted, within the time that a body may take; the count starts anew where the body ends, and the size of a head is always computed from its fields.

Evidence: with a body of 900,000 bytes that is refused by 404, the next call on the connection got 431 in 2 of 2 cases (with a length and in chunks); now 200 in both.

--- a/src/siskinpier/edge/caller_connections.py
+++ b/src/siskinpier/edge/caller_connections.py
@@ -92,6 +92,8 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
         self._is_head_too_large = False
+        # The body of the latest request has not arrived completely.
+        self._is_body_open = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Accept a connection, or refuse it if there are too many."""
@@ -121,6 +123,11 @@
             return
         if self._has_open_request():
             self._head_bytes = 0
+        elif self._is_body_open:
+            # The rest of the body of a call that is answered already.
+            self._head_bytes = 0
+            if self._head_timer is None:
+                self._start_head_timer()
         elif self._head_bytes > self._limits.header_bytes:
             self._refuse_large_head()
         elif self._head_timer is None:
@@ -134,13 +141,20 @@
     def on_headers_complete(self) -> None:
         """Start the request unless its head exceeds the limit."""
         self._stop_head_timer()
-        if self._head_bytes > self._limits.header_bytes:
-            size = len(self.url) + sum(len(k) + len(v) + 4 for k, v in self.headers)
-            self._is_head_too_large = size > self._limits.header_bytes
-            if self._is_head_too_large:
-                raise HeadTooLargeError
+        size = len(self.url) + sum(len(k) + len(v) + 4 for k, v in self.headers)
+        self._is_head_too_large = size > self._limits.header_bytes
+        if self._is_head_too_large:
+            raise HeadTooLargeError
+        self._is_body_open = True
         super().on_headers_complete()
 
+    def on_message_complete(self) -> None:
+        """Count the bytes of the next head from here."""
+        super().on_message_complete()
+        self._is_body_open = False
+        self._head_bytes = 0
+        self._stop_head_timer()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse invalid HTTP, or reset the connection where a refusal could mislead.
 
