Log each stage of a host's start and each way it ends

Operators could not tell why a process was gone: one that cannot start wrote a line without a key to search for, to standard error only; one that broke left a trace of many lines without an event; and a normal end, a kill and a crash looked alike where the log was cut.

A process now logs boot, settings, listening, cannot-start (with the stage), crash (error and the last part of its trace) and, always last, exit with its code. A log without exit is one of a process that was killed. The line and the trace on standard error stay.

--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -5,13 +5,14 @@
 import socket
 import sys
 import time
+import traceback
 from functools import partial
-from pathlib import Path
 from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
 
+from .. import __version__
 from ..core.events import HostStarted
 from ..core.state import CoreSettings, HostIdentity, HostState, make_state
 from ..edge.backends import BackendClient
@@ -39,13 +40,8 @@
 from .headers import REQUEST_ID_HEADER, PlatformHeaderAdapter
 from .registration import HostRegistration
 from .reload import SettingsWatcher
-from .settings import (
-    PATH_VARIABLE,
-    AdapterSettings,
-    ListenAddress,
-    SettingsError,
-    parse_settings,
-)
+from .settings import PATH_VARIABLE, AdapterSettings, ListenAddress
+from .starting import StartError, listen, read_settings
 from .store import StoreClient
 from .store_watcher import StoreWatcher
 
@@ -66,6 +62,8 @@
 # Idle connections to backend servers are closed after this, seconds: sooner than the
 # servers close them.
 MAX_BACKEND_IDLE_S: Final = 4.0
+# Characters of the trace in the log line of a crash, the last ones.
+MAX_TRACE_CHARS: Final = 8_000
 
 
 def main() -> None:
@@ -77,21 +75,34 @@
     """Run a host until it is stopped, and return the exit code."""
     writer = NonBlockingHandler(fd=sys.stdout.fileno())
     configure_logging(writer)
+    log_event(
+        "boot",
+        pid=os.getpid(),
+        version=__version__,
+        python=sys.version.partition(" ")[0],
+        machine=os.uname().machine,
+    )
+    code = ExitCode.INTERNAL
     try:
-        settings = parse_settings(Path(path).read_text(encoding="utf-8"))
-        sockets = [
-            make_listener(Address(ip=address.ip, port=address.port))
-            for address in (
-                settings.callers,
-                settings.readiness,
-                settings.addresses,
-                settings.peers,
-            )
-        ]
-        metrics = _listen_for_metrics(settings.ip)
-    except (OSError, SettingsError, UnicodeDecodeError) as exc:
-        print(f"siskinpier: cannot start: {path}: {exc}", file=sys.stderr)
+        code = _start_and_run(path, writer)
+    except Exception as exc:
+        trace = "".join(traceback.format_exception(exc))
+        log_warning("crash", error=repr(exc), trace=trace[-MAX_TRACE_CHARS:])
+        raise
+    finally:
+        log_event("exit", code=int(code))
+    return code
+
+
+def _start_and_run(path: str, writer: NonBlockingHandler) -> ExitCode:
+    try:
+        settings = read_settings(path)
+        sockets = listen(settings)
+    except StartError as exc:
+        log_warning("cannot-start", stage=exc.stage, reason=exc.reason)
+        print(f"siskinpier: cannot start: {path}: {exc.reason}", file=sys.stderr)
         return ExitCode.BAD_INPUT
+    metrics = _listen_for_metrics(settings.ip)
     anyio.run(
         partial(_run, path, settings, sockets, metrics, writer),
         backend="asyncio",
--- /dev/null
+++ b/src/siskinpier/platform/starting.py
@@ -0,0 +1,57 @@
+"""The stages of a start before the event loop runs: settings, then listening."""
+
+import socket
+from enum import StrEnum
+from pathlib import Path
+
+from ..edge.sockets import make_listener
+from ..logs import log_event
+from ..settings.host import Address
+from .settings import AdapterSettings, SettingsError, parse_settings
+
+
+class Stage(StrEnum):
+    """A stage of a start that can fail."""
+
+    SETTINGS = "settings"
+    LISTEN = "listen"
+
+
+class StartError(Exception):
+    """A host cannot start; the reason names the field or the address."""
+
+    def __init__(self, *, stage: Stage, reason: str) -> None:
+        super().__init__(reason)
+        self.stage = stage
+        self.reason = reason
+
+
+def read_settings(path: str) -> AdapterSettings:
+    """Return the settings in a file; raise `StartError` if they cannot be used."""
+    try:
+        settings = parse_settings(Path(path).read_text(encoding="utf-8"))
+    except (OSError, SettingsError, UnicodeDecodeError) as exc:
+        raise StartError(stage=Stage.SETTINGS, reason=str(exc)) from exc
+    log_event("settings", path=path, host=settings.name)
+    return settings
+
+
+def listen(settings: AdapterSettings) -> list[socket.socket]:
+    """Return sockets for callers, readiness, addresses and peers, in this order.
+
+    Raises `StartError` if one cannot be had.
+    """
+    sockets: list[socket.socket] = []
+    for address in (
+        settings.callers,
+        settings.readiness,
+        settings.addresses,
+        settings.peers,
+    ):
+        try:
+            sockets.append(make_listener(Address(ip=address.ip, port=address.port)))
+        except OSError as exc:
+            reason = f"{address}: {exc}"
+            raise StartError(stage=Stage.LISTEN, reason=reason) from exc
+    log_event("listening", callers=str(settings.callers))
+    return sockets
