--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,7 +4,6 @@
 import json
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -12,6 +11,7 @@
 import anyio
 
 from .history import Ended, Ending, Entry, Sent
+from .processes import HostProcess
 
 VIRTUAL_HOST: Final = "films.example"
 DEADLINE_S: Final = 2.0
@@ -27,19 +27,6 @@
 SAFE_ROUTES: Final = frozenset({"search", "move"})
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallerHost:
-    """A host; `address` takes calls, `directory_address` resolves host addresses.
-
-    `start_count` is how often the host was started.
-    """
-
-    name: str
-    start_count: int
-    address: str
-    directory_address: str
-
-
 class SoakCaller:
     """Sends one request at a time over one connection."""
 
@@ -49,13 +36,13 @@
         name: str,
         seed: int,
         failure_domain: str,
-        list_hosts: Callable[[], list[CallerHost]],
+        hosts: dict[str, HostProcess],
         record: Callable[[Entry], None],
     ) -> None:
         self._name = name
         self._rng = Random(f"{seed}/{name}")
         self._domain = failure_domain
-        self._list_hosts = list_hosts
+        self._hosts = hosts
         self._record = record
         self._number = 0
         self._address = ""
@@ -92,7 +79,7 @@
         self._address = self._rng.choice(addresses) if addresses else ""
 
     async def _request_addresses(self) -> list[str]:
-        hosts = self._list_hosts()
+        hosts = list(self._hosts.values())
         self._rng.shuffle(hosts)
         path = f"/api/resolution?name={VIRTUAL_HOST}&region=r1&zone={self._domain}"
         for host in hosts[:3]:
@@ -134,7 +121,8 @@
 
         Returns the time to wait before the next request, seconds.
         """
-        host = next((h for h in self._list_hosts() if h.address == self._address), None)
+        hosts = self._hosts.values()
+        host = next((h for h in hosts if h.address == self._address), None)
         if host is None:
             self._address = ""
             return REQUEST_PAUSE_S
@@ -149,7 +137,7 @@
             route=route,
             path=path,
             body_digest=hashlib.sha256(body).hexdigest(),
-            host=host.name,
+            host=host.config.name,
             life=host.start_count,
         )
         self._record(sent)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -12,7 +12,7 @@
 from tests.standins.metadata_store import POLL_INTERVAL_S, MetadataStore
 from tests.standins.process import find_free_ports
 
-from .callers import VIRTUAL_HOST, CallerHost
+from .callers import VIRTUAL_HOST
 from .history import Configured, Entry, load_entry
 from .links import Link
 from .processes import (
@@ -132,18 +132,6 @@
         self.version += 1 + step % 3
         return configured
 
-    def list_hosts(self) -> list[CallerHost]:
-        """Return the hosts with the addresses that callers use."""
-        return [
-            CallerHost(
-                name=name,
-                start_count=host.start_count,
-                address=f"{host.config.ip}:{host.front_port}",
-                directory_address=f"{host.config.ip}:{host.directory_port}",
-            )
-            for name, host in self.hosts.items()
-        ]
-
     def get_failure_domain(self, index: int) -> str:
         """Return the failure domain of the host or caller with this number."""
         return FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
--- a/soak/links.py
+++ b/soak/links.py
@@ -21,11 +21,12 @@
     """What a link does to its connections."""
 
     NONE = "none"
+    DELAY = "delay"
     RESET = "reset"
     # Holds the bytes from the client to the target.
-    CUT_FORWARD = "cut-forward"
+    CUT_FORWARD = "cut-there"
     # Holds the bytes from the target to the client.
-    CUT_BACKWARD = "cut-backward"
+    CUT_BACKWARD = "cut-back"
     # Holds the bytes in both directions.
     SILENT = "silent"
 
--- a/soak/odd_entries.py
+++ b/soak/odd_entries.py
@@ -30,16 +30,16 @@
 ODD_FIELDS: Final = ("", "x", "-1", "0", "nan", "1e400", "9" * 30, "1,", "[]")
 
 
-def put_odd_entry(store: MetadataStore, rng: Random, number: int) -> tuple[str, str]:
-    """Put an odd copy of an object beside it; return the kind and the name."""
-    kind, name = rng.choice(KINDS), f"odd-{number}"
+def put_odd_entry(store: MetadataStore, rng: Random, name: str) -> str:
+    """Put an odd copy of an object beside it, under a new name; return its kind."""
+    kind = rng.choice(KINDS)
     objects = list(store.objects.items())
     copied = [item["spec"] for (k, _), item in objects if k == kind]
     spec = json.loads(json.dumps(rng.choice(copied))) if copied else {}
-    placeholder = f"@odd-{number}@"
+    placeholder = f"@{name}@"
     store.replacements[json.dumps(placeholder).encode()] = rng.choice(ODD_VALUES)
     store.put(kind, name, _replace_value(spec, placeholder, rng))
-    return kind, name
+    return kind
 
 
 def _replace_value(value: Any, placeholder: str, rng: Random) -> Any:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -101,6 +101,9 @@
         # Time of the last start, monotonic seconds.
         self.started_at = 0.0
         self.front_port, self.ready_port, self.peers_port, self.directory_port = ports
+        # Addresses for requests and for look-ups of host addresses.
+        self.address = f"{config.ip}:{self.front_port}"
+        self.directory_address = f"{config.ip}:{self.directory_port}"
         # True from a deliberate stop or kill until the next start.
         self.is_stopping = False
         self.path = config.folder / f"{config.name}.conf"
--- a/soak/run.py
+++ b/soak/run.py
@@ -44,18 +44,8 @@
 MIN_SUCCESS_SHARE: Final = 0.9
 # A draining server serves for this long after its entry says so, then exits.
 DRAINING_S: Final = 4.0
-LINK_FAULTS: Final = {
-    FaultKind.LINK_DELAY: LinkFault.NONE,
-    FaultKind.LINK_RESET: LinkFault.RESET,
-    FaultKind.LINK_CUT_FORWARD: LinkFault.CUT_FORWARD,
-    FaultKind.LINK_CUT_BACKWARD: LinkFault.CUT_BACKWARD,
-    FaultKind.LINK_SILENT: LinkFault.SILENT,
-}
-STORE_MODES: Final = {
-    FaultKind.STORE_BUSY: "busy",
-    FaultKind.STORE_SILENT: "silent",
-    FaultKind.STORE_LOST: "lost",
-}
+# Number of entries that another writer puts at once.
+ODD_ENTRY_COUNT: Final = 8
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,7 +87,6 @@
         )
         self._checker = Checker(has_time_limits=config.has_time_limits)
         self._history: IO[str] = (config.folder / "history.jsonl").open("w")
-        self._rng = Random(config.seed)
         self._request_count = 0
         self._results: deque[bool] = deque(maxlen=RESULT_COUNT)
         self._configuration_count = 0
@@ -152,7 +141,7 @@
                 name=f"c{number}",
                 seed=self._config.seed,
                 failure_domain=self._deployment.get_failure_domain(number),
-                list_hosts=self._deployment.list_hosts,
+                hosts=self._deployment.hosts,
                 record=self._record_entry,
             )
             tasks.start_soon(caller.run)
@@ -195,7 +184,7 @@
             )
         )
         match fault.kind:
-            case kind if kind.value.startswith("host-"):
+            case kind if kind.group == "host":
                 await self._host_faults.inject(fault)
             case FaultKind.SERVER_KILL:
                 await self._restart_server(fault)
@@ -208,7 +197,7 @@
                 self._record_entry(
                     self._deployment.configure(self._configuration_count)
                 )
-            case _ if fault.kind in LINK_FAULTS:
+            case kind if kind.group == "link":
                 await self._inject_link_fault(fault)
             case _:
                 await self._inject_store_fault(fault)
@@ -259,8 +248,9 @@
 
     async def _inject_link_fault(self, fault: ScheduledFault) -> None:
         link = self._deployment.links[fault.target]
-        delay_s = fault.amount if fault.kind is FaultKind.LINK_DELAY else 0.0
-        link.set_fault(LINK_FAULTS[fault.kind], delay_s)
+        link_fault = LinkFault(fault.kind.effect)
+        delay_s = fault.amount if link_fault is LinkFault.DELAY else 0.0
+        link.set_fault(link_fault, delay_s)
         await anyio.sleep(fault.for_s)
         link.set_fault(LinkFault.NONE)
 
@@ -271,14 +261,16 @@
             return
         if fault.kind is FaultKind.STORE_ODD:
             rng = Random(f"{self._config.seed}/{fault.number}")
-            kind, name = put_odd_entry(store, rng, fault.number)
+            names = [f"odd-{fault.number}-{n}" for n in range(ODD_ENTRY_COUNT)]
+            put = [(put_odd_entry(store, rng, name), name) for name in names]
             await anyio.sleep(fault.for_s)
-            store.delete(kind, name)
+            for kind, name in put:
+                store.delete(kind, name)
             return
         if fault.kind is FaultKind.STORE_SLOW:
             store.delay_s = fault.amount
         else:
-            store.mode = STORE_MODES[fault.kind]
+            store.mode = fault.kind.effect
         self._active_store_faults += 1
         await anyio.sleep(fault.for_s)
         self._active_store_faults -= 1
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -72,6 +72,16 @@
     # Another writer puts an entry that cannot be used into the store.
     STORE_ODD = "store-odd"
 
+    @property
+    def group(self) -> str:
+        """What the fault acts on: host, server, link, store or configure."""
+        return self.value.partition("-")[0]
+
+    @property
+    def effect(self) -> str:
+        """The name of the kind within its group."""
+        return self.value.partition("-")[2]
+
 
 # The schedule of the other kinds is drawn separately: seeds that failed before these
 # kinds were added keep their meaning.
@@ -192,11 +202,11 @@
         return faults
 
     def _draw_target(self, kind: FaultKind) -> str:
-        group = kind.value.partition("-")[0]
         links = [f"peers/{host}" for host in self.hosts]
         links += [f"store/{host}" for host in self.hosts]
         links += [f"server/{server}" for server in self.servers]
         targets = {"host": self.hosts, "server": self.servers, "link": links}
         if kind is FaultKind.HOST_STORM:
             return ALL_HOSTS
-        return self.rng.choice(targets[group]) if group in targets else "store"
+        group = targets.get(kind.group)
+        return self.rng.choice(group) if group else "store"
