Plant a host that hangs in place of one that answers no check

The planted bug replaced the app's call by a function of another signature, which the server took for another interface and never called as meant: hosts were never ready, for a reason that was not the planted one. A process that stops itself is what a host that hangs looks like.

--- a/soak/planted.py
+++ b/soak/planted.py
@@ -1,9 +1,9 @@
 """Bugs planted in the load balancer, to verify that the checker finds them."""
 
 import os
+import signal
 import sys
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
@@ -11,8 +11,6 @@
 from types import ModuleType
 from typing import Any, Final
 
-import anyio
-
 from siskinpier.core import reducer
 from siskinpier.core.cluster import registry
 from siskinpier.core.configuration.intents import (
@@ -27,7 +25,6 @@
 from siskinpier.core.state import HostState
 from siskinpier.edge.backends import BackendClient, BackendReply
 from siskinpier.edge.headers import Headers
-from siskinpier.platform.callers import StatusApp
 from siskinpier.platform.headers import REQUEST_ID_HEADER
 from siskinpier.platform.reload import SettingsWatcher
 
@@ -138,17 +135,9 @@
     timer.start()
 
 
-def _stop_answering() -> None:
-    """Answer no readiness check after `PLANTED_AFTER_S`."""
-    answer = StatusApp.__call__
-    until = time.monotonic() + PLANTED_AFTER_S
-
-    async def answer_for_a_while(self: StatusApp, *args: Any) -> None:
-        if time.monotonic() > until:
-            await anyio.sleep_forever()
-        await answer(self, *args)
-
-    setattr(StatusApp, "__call__", answer_for_a_while)  # noqa: B010
+def _hang() -> None:
+    """Answer nobody any more after `PLANTED_AFTER_S`."""
+    _run_later(lambda: os.kill(os.getpid(), signal.SIGSTOP))
 
 
 def _end_at_reload() -> None:
@@ -166,6 +155,6 @@
     "ignored-drain": (_ignore_drains, {"drain"}),
     "self-ended": (_end_later, {"ended"}),
     "ended-by-reload": (_end_at_reload, {"ended"}),
-    "unanswered-check": (_stop_answering, {"unready"}),
+    "hung": (_hang, {"unready"}),
     "held-memory": (_hold_memory, {"memory"}),
 }
