Keep signals that arrive before a host's event loop handles them

A SIGHUP while a host loaded its modules, half a second and more on a slow machine, ended the process with -1, and so did one after its last task. The platform signals whenever settings change, also beside restarts. SIGTERM ended a starting host with -15, and a second SIGTERM late in a stop gave -15 in place of 0. The line event=start came before the handlers too, so whoever waited for it and signalled could end the host. SIGUSR1, SIGUSR2 and their like ended a host at any time.

The handlers were those of the event loop, so they were there only while one task of the loop ran; the loop's API restores the default action when it is done with a signal. Now signals.py keeps signals from the first statement of the program on, the loop takes what was kept and is woken by the wakeup descriptor, and from its end on signals are ignored until the process is gone. A SIGHUP that was kept is a reload. A stop before the host has its ports ends it with 0 and the line start-cancelled. Signals that a host gives no meaning are ignored: a signal sent to the wrong process should not cost a host. SIGQUIT stays as it is, to end a host that hangs.

The package's own module imports nothing any more (typing took 8 ms), so that what is left is the start of the interpreter itself. Weighed: the loop's add_signal_handler with blocked signals around its end (as long, and closing the loop restores the default action again).

The gate in these tests stops a child before it imports a module or at its exit, so nothing depends on milliseconds.

--- a/src/siskinpier/__init__.py
+++ b/src/siskinpier/__init__.py
@@ -1,5 +1,4 @@
 """A load balancer for backend servers whose load changes within milliseconds."""
 
-from typing import Final
-
-__version__: Final = "0.1.0"
+# Nothing is imported here: until `signals` is, a signal ends a starting host.
+__version__ = "0.1.0"
--- a/src/siskinpier/cli.py
+++ b/src/siskinpier/cli.py
@@ -46,6 +46,7 @@
     parse_intents,
     parse_settings,
 )
+from .signals import SIGNALS
 
 HOST_VARIABLE: Final = "SISKINPIER_HOST"
 TOKEN_VARIABLE: Final = "SISKINPIER_TOKEN"
@@ -110,6 +111,7 @@
         case Explain():
             return _explain(command)
         case Platform():
+            SIGNALS.open()
             # Imported here so that the other commands start faster.
             from .platform.process import run as run_on_platform
             from .platform.settings import PATH_VARIABLE
@@ -157,6 +159,7 @@
 
 
 def _serve(file: str) -> int:
+    SIGNALS.open()
     match load_settings(_read_file(file)):
         case Rejected() as rejected:
             _print_rejected(file, rejected)
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -7,7 +7,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import closing, contextmanager
 from functools import partial
 from typing import Any, Final
 
@@ -15,6 +15,7 @@
 import uvicorn
 
 from ..core.events import ShutdownRequested
+from ..signals import SIGNALS
 from .caller_connections import CallerProtocol
 from .shell import Shell
 from .tls import Certificate
@@ -24,6 +25,8 @@
 GC_THRESHOLDS: Final = (20_000, 50, 100)
 # Time to receive requests on connections already accepted at shutdown, seconds.
 LAST_REQUESTS_WAIT_S: Final = 0.1
+# Bytes read at once from the socket that signals write to, one each.
+WAKEUP_BYTES: Final = 4_096
 
 
 class CallerServer(uvicorn.Server):
@@ -84,15 +87,53 @@
 
 
 async def handle_signals(shell: Shell, reload: Callable[[], None]) -> None:
-    """Start the shutdown on SIGTERM and SIGINT, and call `reload` on SIGHUP."""
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                reload()
-            else:
-                shell.handle(ShutdownRequested(now=shell.clock()))
+    """Start the shutdown on SIGTERM and SIGINT, and call `reload` on SIGHUP.
+
+    Signals that were kept since the start of the process come first. Once cancelled,
+    signals are ignored: the process is about to end.
+    """
+
+    def handle(number: int) -> None:
+        if number == signal.SIGHUP:
+            reload()
+        else:
+            shell.handle(ShutdownRequested(now=shell.clock()))
+
+    SIGNALS.open()
+    with closing(_SignalWakeup(asyncio.get_running_loop())) as wakeup:
+        while True:
+            SIGNALS.take(handle)
+            await wakeup.wait()
+
+
+class _SignalWakeup:
+    """Wakes the event loop when a signal arrives."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._woken = asyncio.Event()
+        self._reader, self._writer = socket.socketpair()
+        self._reader.setblocking(False)
+        self._writer.setblocking(False)
+        loop.add_reader(self._reader, self._handle_readable)
+        signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
+
+    async def wait(self) -> None:
+        """Wait until a signal has arrived since the last call."""
+        await self._woken.wait()
+        self._woken.clear()
+
+    def close(self) -> None:
+        """Ignore signals from now on, and release the sockets."""
+        SIGNALS.close()
+        signal.set_wakeup_fd(-1)
+        self._loop.remove_reader(self._reader)
+        self._reader.close()
+        self._writer.close()
+
+    def _handle_readable(self) -> None:
+        self._reader.recv(WAKEUP_BYTES)
+        self._woken.set()
 
 
 def _make_protocol(shell: Shell, *args: Any, **kwargs: Any) -> CallerProtocol:
--- a/src/siskinpier/platform/__main__.py
+++ b/src/siskinpier/platform/__main__.py
@@ -4,8 +4,13 @@
 needed here is skipped.
 """
 
-import gc
-import os
+from ..signals import SIGNALS
+
+# A signal that arrives while modules are loaded must not end the process.
+SIGNALS.open()
+
+import gc  # noqa: E402
+import os  # noqa: E402
 
 # Loading modules leaves no garbage to collect.
 gc.disable()
--- a/src/siskinpier/platform/starting.py
+++ b/src/siskinpier/platform/starting.py
@@ -7,6 +7,7 @@
 from ..edge.sockets import make_listener
 from ..logs import log_event
 from ..settings.host import Address
+from ..signals import SIGNALS
 from .settings import AdapterSettings, SettingsError, parse_settings
 
 
@@ -26,8 +27,23 @@
         self.reason = reason
 
 
+class StartCancelledError(Exception):
+    """A signal stopped the host at a stage of its start."""
+
+    def __init__(self, *, stage: Stage) -> None:
+        super().__init__(stage)
+        self.stage = stage
+
+
+def check_not_stopped(stage: Stage) -> None:
+    """Raise `StartCancelledError` if a signal that stops the host has arrived."""
+    if SIGNALS.is_stop_requested():
+        raise StartCancelledError(stage=stage)
+
+
 def read_settings(path: str) -> AdapterSettings:
     """Return the settings in a file; raise `StartError` if they cannot be used."""
+    check_not_stopped(Stage.SETTINGS)
     try:
         settings = parse_settings(Path(path).read_text(encoding="utf-8"))
     except (OSError, SettingsError, UnicodeDecodeError) as exc:
@@ -41,6 +57,7 @@
 
     Raises `StartError` if one cannot be had.
     """
+    check_not_stopped(Stage.LISTEN)
     sockets: list[socket.socket] = []
     for address in (
         settings.callers,
--- a/tests/standins/started_host.py
+++ b/tests/standins/started_host.py
@@ -15,6 +15,22 @@
 MODULE_ARGS: Final = ("-m", "siskinpier.platform")
 # Nothing listens there; a host runs without its store.
 NO_STORE: Final = f"{LOOPBACK}:1"
+GATE_CODE: Final = """
+import atexit, os, pathlib, sys, time
+folder = pathlib.Path(os.environ["GATE_FOLDER"])
+def wait():
+    (folder / "reached").touch()
+    while not (folder / "opened").exists():
+        time.sleep(0.01)
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == os.environ["GATE_MODULE"]:
+            sys.meta_path.remove(self)
+            wait()
+sys.meta_path.insert(0, Finder())
+if not os.environ["GATE_MODULE"]:
+    atexit.register(wait)
+"""
 
 
 def make_fields() -> dict[str, str]:
@@ -42,6 +58,32 @@
     return "".join(f"{name}={value}\n" for name, value in fields.items())
 
 
+class Gate:
+    """A point at which a child process stops until the test opens it.
+
+    A child that runs with `environ` stops before it imports `module` (`None`: at its
+    exit).
+    """
+
+    def __init__(self, *, folder: Path, module: str | None) -> None:
+        folder.mkdir()
+        (folder / "sitecustomize.py").write_text(GATE_CODE)
+        self._reached, self._opened = folder / "reached", folder / "opened"
+        self.environ: Final = {
+            "PYTHONPATH": f"{folder}:{ROOT / 'src'}",
+            "GATE_FOLDER": str(folder),
+            "GATE_MODULE": module or "",
+        }
+
+    def is_reached(self) -> bool:
+        """Return True if the child has stopped here."""
+        return self._reached.exists()
+
+    def open(self) -> None:
+        """Let the child go on."""
+        self._opened.touch()
+
+
 class StartedHost:
     """A host process; leaving the context kills it if it still runs."""
 
@@ -67,6 +109,7 @@
                 "SISKINPIER_BOOT": str(self.path),
                 **(environ or {}),
             },
+            stdin=subprocess.DEVNULL,
             preexec_fn=prepare,
             **{"stdout": self._log, "stderr": self._log, **streams},
         )
@@ -96,6 +139,11 @@
         assert events, f"ended with {self.child.returncode}: {self.read_log()}"
         return events[0]
 
+    def wait_at(self, gate: Gate) -> None:
+        """Wait until the process has stopped at a gate."""
+        wait_until(lambda: gate.is_reached() or self.child.poll() is not None)
+        assert gate.is_reached(), f"ended: {self.child.returncode}: {self.read_log()}"
+
     def wait_exit(self) -> int:
         """Wait for the end of the process and return its exit code."""
         return self.child.wait(HANG_TIMEOUT_S)
