--- a/src/siskinpier/platform/__main__.py
+++ b/src/siskinpier/platform/__main__.py
@@ -4,9 +4,14 @@
 needed here is skipped.
 """
 
-import gc
-import os
-import sys
+from ..signals import SIGNALS
+
+# A signal that arrives while modules are loaded must not end the process.
+SIGNALS.open()
+
+import gc  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
 
 # Loading modules leaves no garbage to collect.
 gc.disable()
