Record unexpected errors and why a host ends, one line each

Operators saw a traceback of many lines without an event when a task of a host failed, lines of any length when asyncio, uvicorn or websockets reported an error, and no difference between a host that was asked to stop and one that ended by a failure. No metric counted such errors.

A failure log counts every unexpected error by its place (siskinpier_failures) and logs it as one line with the type, the message and the innermost frames of its trace. It also takes what asyncio passes to its exception handler and what libraries log as errors. The last line of a host names the reason, the part that failed, and the exit code, which is 1 after a failure.

What a failure costs is unchanged here: it still ends the host.

--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -29,6 +29,8 @@
 from .platform_watch import poll_hosts, watch_intents
 from .serving import (
     handle_signals,
+    install_failure_log,
+    log_end,
     make_caller_server,
     make_clock,
     tune_garbage_collector,
@@ -53,8 +55,7 @@
     configure_logging(writer, settings.log_level)
     run = partial(_run, settings, sockets, certificate, writer)
     # uvloop is faster, but libuv sets up an io_uring that cannot be turned off.
-    anyio.run(run, backend="asyncio", backend_options={"use_uvloop": False})
-    return ExitCode.OK
+    return anyio.run(run, backend="asyncio", backend_options={"use_uvloop": False})
 
 
 async def _run(
@@ -62,7 +63,7 @@
     sockets: HostSockets,
     certificate: Certificate | None,
     writer: NonBlockingHandler,
-) -> None:
+) -> ExitCode:
     backends = BackendClient(peer_tls=certificate.peers if certificate else None)
     await backends.open()
     platform = PlatformClient(
@@ -84,6 +85,7 @@
         metrics=HostMetrics(),
         dropped_lines=writer.dropped_lines,
     )
+    install_failure_log(shell.failures, writer)
     # The ready line is the first line of output, before any log line.
     print(make_ready_line(sockets), flush=True)
     try:
@@ -92,10 +94,14 @@
                 tasks.start_soon(watch_certificate_files, certificate)
             await _serve(shell, platform, sockets, tasks, certificate)
             tasks.cancel_scope.cancel()
+    except Exception as exc:
+        shell.failures.record("host", exc)
+        shell.failed_part = "host"
     finally:
         with anyio.CancelScope(shield=True):
             await backends.aclose()
             await platform.aclose()
+    return log_end(shell)
 
 
 async def _serve(
@@ -124,7 +130,6 @@
         # are written.
         caller_server.should_exit = True
         servers.cancel_scope.deadline = anyio.current_time() + _get_remaining_s(shell)
-    log_event("end", host=settings.name)
 
 
 def _log_reload() -> None:
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import logging
 import signal
 import socket
 import time
@@ -15,6 +16,9 @@
 import uvicorn
 
 from ..core.events import ShutdownRequested
+from ..exit_codes import ExitCode
+from ..failures import FailureLog, LibraryErrors
+from ..logs import log_event
 from .caller_connections import CallerProtocol
 from .shell import Shell
 from .tls import Certificate
@@ -72,6 +76,26 @@
         )
 
 
+def install_failure_log(failures: FailureLog, handler: logging.Handler) -> None:
+    """Record the errors that the event loop and libraries report, one line each."""
+    asyncio.get_running_loop().set_exception_handler(failures.handle_loop_error)
+    handler.addFilter(LibraryErrors(failures))
+
+
+def log_end(shell: Shell) -> ExitCode:
+    """Log why a host ends, and return the exit code of its process."""
+    part = shell.failed_part
+    code = ExitCode.INTERNAL if part else ExitCode.OK
+    log_event(
+        "end",
+        host=shell.settings.name,
+        reason="failure" if part else "asked",
+        where=part,
+        code=int(code),
+    )
+    return code
+
+
 def tune_garbage_collector() -> None:
     """Make the garbage collector run rarely, and over new objects only.
 
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -50,6 +50,7 @@
 from ..core.state import HostState, Lifecycle
 from ..core.timers import Timer
 from ..core.verdict import AttemptFailure
+from ..failures import FailureLog
 from ..logs import log_event
 from ..metrics import HostMetrics
 from ..settings.host import HostSettings
@@ -88,7 +89,17 @@
         self.header_adapter = header_adapter
         self.metrics = metrics
         metrics.register_state(state, clock, platform.calls, dropped_lines)
-        self.peer_key = settings.security.peer_key.encode()
+        security = settings.security
+        self.peer_key = security.peer_key.encode()
+        self.failures = FailureLog(
+            count=metrics.count_failure,
+            secrets=(
+                security.peer_key,
+                security.operator_token,
+                *security.operator_tokens.values(),
+                settings.platform.token,
+            ),
+        )
         self.exchanges: dict[str, Exchange] = {}
         # Set once the lifecycle is past STARTING: the host serves or is shutting down.
         self.started = anyio.Event()
@@ -98,6 +109,8 @@
         self.watch_changed = anyio.Event()
         # Set when the host must exit at once, without waiting for open responses.
         self.aborted = anyio.Event()
+        # The part of the host whose failure ends it; empty if a stop was asked for.
+        self.failed_part = ""
         self.mesh = Mesh(
             name=settings.name,
             key=settings.security.peer_key,
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -194,6 +194,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.failures = Counter(
+            "siskinpier_failures",
+            "Unexpected errors, by the loop, event, effect or task.",
+            ["where"],
+            registry=self.registry,
+        )
         # Caches of labelled metrics: `labels()` costs more than the increment itself.
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[tuple[Histogram, str, int], Histogram] = {}
@@ -234,6 +240,10 @@
         """Record how long a call waited before it was first sent."""
         self._observe(self.waits, service, urgency, wait_s)
 
+    def count_failure(self, where: str) -> None:
+        """Count an unexpected error; `where` is one of a bounded set of names."""
+        self.failures.labels(where).inc()
+
     def count_decision(self, event: str, fields: dict[str, object]) -> None:
         """Count one decision of the core, and update the metrics derived from it."""
         counter = self._counters.get(event)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -17,6 +17,8 @@
 from ..edge.backends import BackendClient
 from ..edge.serving import (
     handle_signals,
+    install_failure_log,
+    log_end,
     make_caller_server,
     make_clock,
     tune_garbage_collector,
@@ -92,12 +94,11 @@
     except (OSError, SettingsError, UnicodeDecodeError) as exc:
         print(f"siskinpier: cannot start: {path}: {exc}", file=sys.stderr)
         return ExitCode.BAD_INPUT
-    anyio.run(
+    return anyio.run(
         partial(_run, path, settings, sockets, metrics, writer),
         backend="asyncio",
         backend_options={"use_uvloop": False},
     )
-    return ExitCode.OK
 
 
 async def _run(
@@ -106,7 +107,7 @@
     sockets: list[socket.socket],
     metrics: list[socket.socket],
     writer: NonBlockingHandler,
-) -> None:
+) -> ExitCode:
     backends = BackendClient(
         id_field=REQUEST_ID_HEADER, echoes_id=True, keep_alive_s=MAX_BACKEND_IDLE_S
     )
@@ -123,6 +124,7 @@
         metrics=HostMetrics(),
         dropped_lines=writer.dropped_lines,
     )
+    install_failure_log(shell.failures, writer)
     settings_watcher = SettingsWatcher(path=path, settings=settings)
     store_watcher = StoreWatcher(shell=shell, store=store, settings=settings)
     registration = HostRegistration(shell=shell, store=store, settings=settings)
@@ -138,10 +140,14 @@
                 tasks,
             )
             tasks.cancel_scope.cancel()
+    except Exception as exc:
+        shell.failures.record("host", exc)
+        shell.failed_part = "host"
     finally:
         with anyio.CancelScope(shield=True):
             await backends.aclose()
             await store.aclose()
+    return log_end(shell)
 
 
 async def _serve(
@@ -173,7 +179,6 @@
         await shell.stopped.wait()
         caller_server.should_exit = True
         servers.cancel_scope.deadline = anyio.current_time() + FLUSH_WAIT_S
-    log_event("end", host=shell.settings.name)
 
 
 def _listen_for_metrics(ip: str) -> list[socket.socket]:
--- a/tests/standins/platform_host.py
+++ b/tests/standins/platform_host.py
@@ -7,10 +7,11 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final
 
 import httpx
@@ -163,7 +164,14 @@
     """A host process whose settings file looks like the platform's."""
 
     def __init__(
-        self, *, folder: Path, store: str, name: str = "front-1", seeds: str = ""
+        self,
+        *,
+        folder: Path,
+        store: str,
+        name: str = "front-1",
+        seeds: str = "",
+        module: str = "siskinpier.platform",
+        environment: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
         self.front, self.ready, self.control, self.directory = find_free_ports(4)
         self.path = folder / f"{name}.conf"
@@ -188,11 +196,12 @@
         self.path.write_text("\n".join(self.settings))
         self.log = (folder / f"{name}.log").open("w+b")
         self.child = subprocess.Popen(
-            [sys.executable, "-m", "siskinpier.platform"],
+            [sys.executable, "-m", module],
             env={
                 **os.environ,
-                "PYTHONPATH": str(ROOT / "src"),
+                "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}",
                 "SISKINPIER_BOOT": str(self.path),
+                **environment,
             },
             stdout=self.log,
             stderr=self.log,
@@ -245,6 +254,7 @@
     store: MetadataStore
     backends: dict[str, Backend]
     host: PlatformHost
+    store_address: str
 
     def set_behavior(self, behavior: str) -> None:
         """Set the behavior of all backend servers."""
@@ -257,8 +267,15 @@
 
 
 @contextmanager
-def run_deployment(folder: Path) -> Iterator[Deployment]:
-    """Run a store, two backend servers, and a host; yield when the host is ready."""
+def run_deployment(
+    folder: Path,
+    module: str = "siskinpier.platform",
+    environment: Mapping[str, str] = MappingProxyType({}),
+) -> Iterator[Deployment]:
+    """Run a store, two backend servers, and a host; yield when the host is ready.
+
+    `module` is the program of the host, `environment` is added to its environment.
+    """
     store = MetadataStore()
     backends = {name: Backend(name=name) for name in ("i-1", "i-2")}
     with (
@@ -270,9 +287,19 @@
         store.put("servers", "i-1", make_entry(first.address))
         store.put("servers", "i-2", make_entry(second.address))
         store.put("servers", "broken", {"address": 7, "info": []})
-        host = PlatformHost(folder=folder, store=served.address)
+        host = PlatformHost(
+            folder=folder,
+            store=served.address,
+            module=module,
+            environment=environment,
+        )
         try:
             wait_until(host.is_ready)
-            yield Deployment(store=store, backends=backends, host=host)
+            yield Deployment(
+                store=store,
+                backends=backends,
+                host=host,
+                store_address=served.address,
+            )
         finally:
             host.stop()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -432,6 +432,13 @@
         assert [reply.status_code for reply in replies] == [200]
         assert host.child.wait(HANG_TIMEOUT_S) == 0
 
+    def test_end_says_why(self, deployment: Deployment) -> None:
+        host = deployment.host
+        host.child.send_signal(signal.SIGTERM)
+        assert host.child.wait(HANG_TIMEOUT_S) == 0
+        (end,) = list_log_fields(host.read_log(), "end")
+        assert (end["reason"], end["where"], end["code"]) == ("asked", "", "0")
+
     @pytest.mark.parametrize(
         ("line", "field"),
         [
