--- a/soak/history.py
+++ b/soak/history.py
@@ -129,7 +129,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostUnready:
-    """A host started at `since` is not ready or does not answer; `log` as above."""
+    """A host has not been ready since `since`, or its start; `log` as above."""
 
     at: float
     host: str
--- a/soak/watcher.py
+++ b/soak/watcher.py
@@ -58,18 +58,16 @@
             self._record(entry)
 
     async def _watch_readiness(self, host: HostProcess) -> None:
+        ready_at = 0.0
         while True:
             await anyio.sleep(READINESS_INTERVAL_S)
-            since = host.started_at
-            if not await is_ready(host) and host.started_at == since:
-                self._record(make_unready_entry(host))
-
-
-def make_unready_entry(host: HostProcess) -> HostUnready:
-    """Return the entry of a host that is not ready at present."""
-    return HostUnready(
-        at=time.monotonic(),
-        host=host.config.name,
-        since=host.started_at,
-        log=host.read_log_tail(),
-    )
+            if await is_ready(host):
+                ready_at = time.monotonic()
+                continue
+            entry = HostUnready(
+                at=time.monotonic(),
+                host=host.config.name,
+                since=max(ready_at, host.started_at),
+                log=host.read_log_tail(),
+            )
+            self._record(entry)
