--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -5,7 +5,6 @@
 import socket
 import sys
 import time
-import traceback
 from functools import partial
 from typing import Final
 
@@ -27,6 +26,7 @@
 from ..edge.shell import Shell
 from ..edge.sockets import make_listener
 from ..exit_codes import ExitCode
+from ..failures import describe_error, describe_trace
 from ..log_writer import NonBlockingHandler
 from ..logs import configure_logging, log_event, log_warning
 from ..metrics import HostMetrics
@@ -64,8 +64,6 @@
 # Idle connections to backend servers are closed after this, seconds: sooner than the
 # servers close them.
 MAX_BACKEND_IDLE_S: Final = 4.0
-# Characters of the trace in the log line of a crash, the last ones.
-MAX_TRACE_CHARS: Final = 8_000
 
 
 def main() -> None:
@@ -88,8 +86,7 @@
     try:
         code = _start_and_run(path, writer)
     except Exception as exc:
-        trace = "".join(traceback.format_exception(exc))
-        log_warning("crash", error=repr(exc), trace=trace[-MAX_TRACE_CHARS:])
+        log_warning("crash", error=describe_error(exc), trace=describe_trace(exc))
         raise
     finally:
         log_event("exit", code=int(code))
