Start a host although fields of its settings cannot be used

A host ended with exit code 2 for one empty or odd field that it needs for nothing at its start: grace time, longest keeping of addresses, probes, retries, share of a core, link, writes, range of ports. Ends came with a trace where a port was a digit that is no number (a superscript two) or had thousands of digits, and for IPv6 addresses, whose brackets were taken for a part of the IP. Others passed and would break later: an endless number, a share of retries that the messages between hosts refuse, seeds that are no addresses, an empty region, with which the other hosts pass over this one.

The file was converted as a whole, so one bad field spoilt it, and the bounds of the numbers were open to one side. It is now read field by field with the reader of the configuration, which learnt to convert texts. A field that cannot be used takes its default and has a line settings-fault. Only name, failure domain, the host's own addresses and the store's address stop a start. The lines are kept flat, so that a value and a table of the same name cannot spoil each other. Bytes that are not UTF-8 spoil only their own field.

--- a/src/siskinpier/platform/field_reading.py
+++ b/src/siskinpier/platform/field_reading.py
@@ -31,6 +31,8 @@
     table: dict[str, Any]
     path: str
     faults: list[Fault] = field(default_factory=list)
+    # False converts texts to numbers, for documents that hold only texts.
+    strict: bool = True
 
     def read(self, name: str, kind: Any, default: Any) -> Any:
         """Return a field converted to a `msgspec` type, or the default.
@@ -79,11 +81,13 @@
 
     def _convert(self, name: str, kind: Any, *, effect: str) -> Any:
         try:
-            return convert(self.table[name], kind)
+            return convert(self.table[name], kind, strict=self.strict)
         except InvalidValueError as exc:
             self.record_fault(name, str(exc), effect)
             return UNUSABLE
 
     def _make_inner(self, name: str, table: dict[str, Any]) -> "FieldReader":
         path = f"{self.path}.{name}".removeprefix(".")
-        return FieldReader(table=table, path=path, faults=self.faults)
+        return FieldReader(
+            table=table, path=path, faults=self.faults, strict=self.strict
+        )
--- a/src/siskinpier/platform/settings.py
+++ b/src/siskinpier/platform/settings.py
@@ -4,13 +4,15 @@
 Unknown fields are ignored.
 """
 
-from collections.abc import Mapping
+import re
+import reprlib
 from dataclasses import dataclass
 from typing import Annotated, Any, Final
 
-from msgspec import Meta, Struct, field
+from msgspec import Meta
 
-from .validation import InvalidValueError, convert
+from ..settings.addresses import MAX_PORT, parse_ip, parse_ip_port
+from .field_reading import Fault, FieldReader, Unusable
 
 PATH_VARIABLE: Final = "SISKINPIER_BOOT"
 # Links of at least this speed, megabits per second, do not limit a host.
@@ -29,7 +31,8 @@
     port: int
 
     def __str__(self) -> str:
-        return f"{self.ip}:{self.port}"
+        ip = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{ip}:{self.port}"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,137 +78,164 @@
     retry_window_s: float
 
 
-Positive = Annotated[float, Meta(gt=0.0)]
-NotNegative = Annotated[float, Meta(ge=0.0)]
+# Names of objects in the store, which the other hosts read.
+HostName = Annotated[str, Meta(pattern=r"^[!-~]{1,200}$")]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+Text = Annotated[str, Meta(max_length=1_000)]
+# Longer than any time that a host is told, at most a week.
+PositiveSeconds = Annotated[float, Meta(gt=0.0, le=604_800.0)]
+Positive = Annotated[float, Meta(gt=0.0, le=1e6)]
+NotNegative = Annotated[float, Meta(ge=0.0, le=1e6)]
+ProbesPerSecond = Annotated[float, Meta(ge=0.0, le=100_000.0)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 
+DEFAULT_REGION: Final = "main"
+REQUIRED: Final = "the host cannot start"
+PASSED_OVER: Final = "passed over"
+LAST_IS_USED: Final = "the last line is used"
+MAX_SEED_PEERS: Final = 64
+_HOST_AND_PORT: Final = re.compile(r"[A-Za-z0-9.-]{1,253}:(?P<port>[0-9]{1,5})")
 
-class _ListenAddresses(Struct, frozen=True, kw_only=True):
-    front: str
-    ready: str
-    directory: str
-    control: str
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DecodedSettings:
+    """The settings of a host, and the faults found in their file."""
 
-class _Bounds(Struct, frozen=True, kw_only=True):
-    grace: Positive = field(name="gracePeriodS", default=6.0)
-    ttl: Positive = field(name="ttl_max_s", default=5.0)
-    probes: NotNegative = field(name="probesPerS", default=10.0)
-    retry_share: NotNegative = field(name="retryBudgetRatio", default=0.1)
-    retry_slack: NotNegative = field(name="retryBudgetSlack", default=0.0)
-    retry_window: Positive = field(name="retryWindowS", default=10.0)
-
-
-class _Machine(Struct, frozen=True, kw_only=True):
-    # The share of one core that a thread gets, not of all cores.
-    processor: Positive = field(name="cpuShare", default=1.0)
-    # Megabits per second.
-    link: Positive = field(name="linkMbps", default=1000.0)
-
-
-class _ExtraSettings(Struct, frozen=True, kw_only=True):
-    """Settings of this software, which the platform does not write."""
-
-    peers_told: str = field(name="peersTold", default="")
-    peer_key: str = field(name="peerKey", default="")
-
+    settings: AdapterSettings
+    faults: tuple[Fault, ...]
 
-class _StoreSettings(Struct, frozen=True, kw_only=True):
-    address: str
-    writes: Positive = field(name="writesPerS", default=100.0)
 
+def parse_settings(text: str) -> AdapterSettings:
+    """Parse the text of a settings file as `decode_settings` does."""
+    return decode_settings(text).settings
 
-class _SettingsFile(Struct, frozen=True, kw_only=True):
-    name: Annotated[str, Meta(min_length=1)] = field(name="nodeName")
-    ip: Annotated[str, Meta(min_length=2)] = field(name="ipAddress")
-    zone: Annotated[str, Meta(min_length=1)]
-    region: str = "main"
-    listen: _ListenAddresses = field(name="listenAddresses")
-    ports: str = field(name="internalPortRange", default="")
-    seeds: str = ""
-    bounds: _Bounds = field(default_factory=_Bounds)
-    platform: _StoreSettings
-    # Capacity of the host's machine. Limits for callers are in the configuration.
-    machine: _Machine = field(name="limits", default_factory=_Machine)
-    own: _ExtraSettings = field(name="siskinpier", default_factory=_ExtraSettings)
 
+def decode_settings(text: str) -> DecodedSettings:
+    """Read the text of a settings file field by field.
 
-def parse_settings(text: str) -> AdapterSettings:
-    """Parse the text of a settings file; raise `SettingsError` if it is invalid."""
-    try:
-        # All values in the file are texts, so they are converted.
-        document = convert(_parse_lines(text), _SettingsFile, strict=False)
-    except InvalidValueError as exc:
-        raise SettingsError(str(exc)) from exc
-    peers = _parse_address("listenAddresses.control", document.listen.control)
-    reachable_at = document.own.peers_told
-    return AdapterSettings(
-        name=document.name,
-        failure_domain=document.zone,
-        region=document.region,
-        ip=document.ip,
-        strength=_compute_strength(document.machine),
-        callers=_parse_address("listenAddresses.front", document.listen.front),
-        readiness=_parse_address("listenAddresses.ready", document.listen.ready),
-        addresses=_parse_address(
-            "listenAddresses.directory", document.listen.directory
-        ),
+    A field that cannot be used takes its default. Raises `SettingsError` for those that
+    have none: a host's name, failure domain and addresses, and the store's address.
+    """
+    reader = FieldReader(table={}, path="", strict=False)
+    reader.table.update(_read_lines(text, reader))
+    callers = _require_address(reader, "listenAddresses.front")
+    peers = _require_address(reader, "listenAddresses.control")
+    settings = AdapterSettings(
+        name=_require(reader, "nodeName", HostName),
+        failure_domain=_require(reader, "zone", Name),
+        region=reader.read("region", Name, DEFAULT_REGION),
+        ip=_read_ip(reader, "ipAddress", default=callers.ip),
+        strength=_read_strength(reader),
+        callers=callers,
+        readiness=_require_address(reader, "listenAddresses.ready"),
+        addresses=_require_address(reader, "listenAddresses.directory"),
         peers=peers,
-        peers_told=(
-            _parse_address("siskinpier.peersTold", reachable_at)
-            if reachable_at
-            else peers
-        ),
-        peer_key=document.own.peer_key,
-        operators=ListenAddress(ip=peers.ip, port=_parse_first_port(document.ports)),
-        store=document.platform.address,
-        seed_peers=tuple(seed for seed in document.seeds.split(",") if seed),
-        writes_per_second=document.platform.writes,
-        grace_s=document.bounds.grace,
-        address_ttl_s=document.bounds.ttl,
-        probes_per_second=document.bounds.probes,
-        retry_share=document.bounds.retry_share,
-        retry_slack=document.bounds.retry_slack,
-        retry_window_s=document.bounds.retry_window,
+        peers_told=_read_address(reader, "siskinpier.peersTold", default=peers),
+        peer_key=reader.read("siskinpier.peerKey", Text, ""),
+        operators=ListenAddress(ip=peers.ip, port=_read_first_port(reader)),
+        store=_require_store(reader),
+        seed_peers=_read_seeds(reader),
+        writes_per_second=reader.read("platform.writesPerS", Positive, 100.0),
+        grace_s=reader.read("bounds.gracePeriodS", PositiveSeconds, 6.0),
+        address_ttl_s=reader.read("bounds.ttl_max_s", PositiveSeconds, 5.0),
+        probes_per_second=reader.read("bounds.probesPerS", ProbesPerSecond, 10.0),
+        retry_share=reader.read("bounds.retryBudgetRatio", Share, 0.1),
+        retry_slack=reader.read("bounds.retryBudgetSlack", NotNegative, 0.0),
+        retry_window_s=reader.read("bounds.retryWindowS", PositiveSeconds, 10.0),
     )
+    return DecodedSettings(settings=settings, faults=tuple(reader.faults))
 
 
-def _compute_strength(machine: _Machine) -> float:
-    """Return a host's share of a core, reduced if its link is slow."""
-    return round(
-        min(1.0, machine.processor) * min(1.0, machine.link / FULL_STRENGTH_LINK_MBPS),
-        3,
-    )
+def _read_lines(text: str, reader: FieldReader) -> dict[str, str]:
+    """Return the values by name; record names that stand twice with other values."""
+    values: dict[str, str] = {}
+    for line in text.removeprefix("\ufeff").splitlines():
+        name, equals, value = line.partition("=")
+        name, value = name.strip(), value.strip()
+        if not equals or name.startswith("#"):
+            continue
+        if values.get(name, value) != value:
+            reader.record_fault(reprlib.repr(name), "stands twice", LAST_IS_USED)
+        values[name] = value
+    return values
 
 
-def _parse_lines(text: str) -> Mapping[str, Any]:
-    """Return the lines as nested tables; skip keys below a key that has a value."""
-    root: dict[str, Any] = {}
-    for line in text.splitlines():
-        key, equals, value = line.strip().partition("=")
-        if not equals or key.startswith("#"):
-            continue
-        *tables, last = key.split(".")
-        table = root
-        for name in tables:
-            inner = table.setdefault(name, {})
-            if not isinstance(inner, dict):
-                break
-            table = inner
-        else:
-            table[last] = value
-    return root
-
-
-def _parse_address(name: str, text: str) -> ListenAddress:
-    ip, colon, port = text.rpartition(":")
-    if not colon or not ip or not port.isdigit() or int(port) > 65_535:
-        raise SettingsError(f"{name}: {text!r} is not IP:PORT")
-    return ListenAddress(ip=ip, port=int(port))
+def _require(reader: FieldReader, name: str, kind: Any) -> Any:
+    value = reader.require(name, kind, effect=REQUIRED)
+    if isinstance(value, Unusable):
+        raise SettingsError(f"{name}: {reader.faults[-1].reason}")
+    return value
 
 
-def _parse_first_port(text: str) -> int:
-    """Return the first port of a range `FIRST,LAST`."""
-    first = text.partition(",")[0]
-    if not first.isdigit() or int(first) > 65_535:
-        raise SettingsError(f"internalPortRange: {text!r} is not two ports")
+def _require_address(reader: FieldReader, name: str) -> ListenAddress:
+    text = _require(reader, name, str)
+    address = parse_ip_port(text)
+    if address is None:
+        raise SettingsError(f"{name}: {text!r} is not IP:PORT")
+    return ListenAddress(ip=address[0], port=address[1])
+
+
+def _read_address(
+    reader: FieldReader, name: str, *, default: ListenAddress
+) -> ListenAddress:
+    text = reader.read(name, str, "")
+    if not text:
+        return default
+    address = parse_ip_port(text)
+    if address is None:
+        reader.record_fault(name, f"{text!r} is not IP:PORT", f"taken as {default}")
+        return default
+    return ListenAddress(ip=address[0], port=address[1])
+
+
+def _read_ip(reader: FieldReader, name: str, *, default: str) -> str:
+    text: str = reader.read(name, str, default)
+    if parse_ip(text) is None:
+        reader.record_fault(name, f"{text!r} is not an IP", f"taken as {default}")
+        return default
+    return text
+
+
+def _require_store(reader: FieldReader) -> str:
+    """Return the address of the store, which may have a name in place of an IP."""
+    name = "platform.address"
+    text: str = _require(reader, name, str)
+    named = _HOST_AND_PORT.fullmatch(text)
+    is_named = named is not None and 1 <= int(named["port"]) <= MAX_PORT
+    if parse_ip_port(text) is None and not is_named:
+        raise SettingsError(f"{name}: {text!r} is not HOST:PORT")
+    return text
+
+
+def _read_seeds(reader: FieldReader) -> tuple[str, ...]:
+    name = "seeds"
+    texts = [text.strip() for text in reader.read(name, str, "").split(",")]
+    seeds = tuple(text for text in texts if parse_ip_port(text) is not None)
+    wrong = [text for text in texts if text and text not in seeds]
+    if wrong:
+        reason = f"{reprlib.repr(wrong)} are not IP:PORT"
+        reader.record_fault(name, reason, PASSED_OVER)
+    return seeds[:MAX_SEED_PEERS]
+
+
+def _read_strength(reader: FieldReader) -> float:
+    """Return a host's share of a core, reduced if its link is slow.
+
+    The share is what a thread gets of one core, not of all cores.
+    """
+    processor: float = reader.read("limits.cpuShare", Positive, 1.0)
+    link_mbps: float = reader.read("limits.linkMbps", Positive, 1_000.0)
+    link = min(1.0, link_mbps / FULL_STRENGTH_LINK_MBPS)
+    return round(min(1.0, processor) * link, 3)
+
+
+def _read_first_port(reader: FieldReader) -> int:
+    """Return the first port of a range `FIRST,LAST`; 0 if there is none."""
+    name = "internalPortRange"
+    if name not in reader.table:
+        return 0
+    first = reader.read(name, str, "").partition(",")[0]
+    if parse_ip_port(f"0.0.0.0:{first}") is None:
+        reader.record_fault(name, f"{first!r} is not a port", "no port is taken")
+        return 0
     return int(first)
--- a/src/siskinpier/platform/starting.py
+++ b/src/siskinpier/platform/starting.py
@@ -2,13 +2,13 @@
 
 import socket
 from enum import StrEnum
-from pathlib import Path
 
 from ..edge.sockets import make_listener
 from ..logs import log_event
 from ..settings.host import Address
 from ..signals import SIGNALS
-from .settings import AdapterSettings, SettingsError, parse_settings
+from .reload import log_faults, read_file
+from .settings import AdapterSettings, SettingsError, decode_settings
 
 
 class Stage(StrEnum):
@@ -45,11 +45,12 @@
     """Return the settings in a file; raise `StartError` if they cannot be used."""
     check_not_stopped(Stage.SETTINGS)
     try:
-        settings = parse_settings(Path(path).read_text(encoding="utf-8"))
-    except (OSError, SettingsError, UnicodeDecodeError) as exc:
+        decoded = decode_settings(read_file(path))
+    except (OSError, ValueError, SettingsError) as exc:
         raise StartError(stage=Stage.SETTINGS, reason=str(exc)) from exc
-    log_event("settings", path=path, host=settings.name)
-    return settings
+    log_event("settings", path=path, host=decoded.settings.name)
+    log_faults(decoded.faults)
+    return decoded.settings
 
 
 def listen(settings: AdapterSettings) -> list[socket.socket]:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -13,11 +13,13 @@
 import pytest
 
 from siskinpier.exit_codes import ExitCode
+from siskinpier.platform.settings import SettingsError, decode_settings
 from tests.standins.process import LOOPBACK
 from tests.standins.started_host import (
     NO_STORE,
     Gate,
     StartedHost,
+    get_status,
     make_fields,
     make_text,
 )
@@ -42,6 +44,44 @@
 process.main()
 """
 
+# Fields that a host can do without, and texts that are no usable value of any of them.
+NUMBERS = [
+    "limits.cpuShare",
+    "limits.linkMbps",
+    "bounds.gracePeriodS",
+    "bounds.ttl_max_s",
+    "bounds.probesPerS",
+    "bounds.retryBudgetRatio",
+    "bounds.retryBudgetSlack",
+    "bounds.retryWindowS",
+    "platform.writesPerS",
+]
+OPTIONAL = [*NUMBERS, "region", "ipAddress", "internalPortRange", "seeds"]
+BAD_NUMBERS = [
+    "",
+    "-1",
+    "true",
+    "never",
+    "nan",
+    "inf",
+    "-inf",
+    "1e400",
+    "1e300",
+    "9" * 5_000,
+    "\u0663",
+    "\u00b2",
+    "[]",
+    '{"a": 1}',
+    "1,2",
+    "\udcff",
+]
+REQUIRED = [
+    "nodeName",
+    "zone",
+    "platform.address",
+    *(f"listenAddresses.{name}" for name in ("front", "ready", "control", "directory")),
+]
+
 
 def make_product_settings() -> dict[str, Any]:
     """Return settings of a host of the product's own, whose platform is not there."""
@@ -177,3 +217,83 @@
                 host.wait_for_event("start")
                 host.child.send_signal(signal.SIGTERM)
             assert host.wait_exit() == ExitCode.OK
+
+
+class TestFields:
+    """Only the fields that a host cannot do without stop its start."""
+
+    @pytest.mark.parametrize("value", BAD_NUMBERS)
+    @pytest.mark.parametrize("name", NUMBERS)
+    def test_number_that_cannot_be_used_takes_its_default(
+        self, name: str, value: str
+    ) -> None:
+        fields = make_fields()
+        usual = decode_settings(make_text(fields)).settings
+        decoded = decode_settings(make_text(fields | {name: value}))
+        assert decoded.settings == usual
+        assert [fault.path for fault in decoded.faults] == [name]
+
+    @pytest.mark.parametrize(
+        "value", ["", "x,y", ",", "70000,70001", "-1,5", "9" * 5_000]
+    )
+    def test_port_range_that_cannot_be_used(self, value: str) -> None:
+        text = make_text(make_fields() | {"internalPortRange": value})
+        decoded = decode_settings(text)
+        assert decoded.settings.operators.port == 0
+        assert [fault.path for fault in decoded.faults] == ["internalPortRange"]
+
+    @pytest.mark.parametrize(
+        "line",
+        [
+            *(f"{name}.deep.er=x\n" for name in [*OPTIONAL, *REQUIRED]),
+            *(f"{name}=x\n" for name in ("limits", "bounds", "platform")),
+            "listenAddresses=x\n",
+        ],
+    )
+    def test_table_where_a_value_stood_and_the_reverse(self, line: str) -> None:
+        text = make_text(make_fields() | {"limits.cpuShare": "0.5"})
+        usual = decode_settings(text)
+        assert decode_settings(line + text) == usual
+        assert decode_settings(text + line) == usual
+
+    def test_seeds_that_are_no_addresses_are_passed_over(self) -> None:
+        seeds = "nonsense,:::,10.0.0.1:0,,10.0.0.2:7,10.0.0.3:70000, 10.0.0.4:8"
+        decoded = decode_settings(make_text(make_fields() | {"seeds": seeds}))
+        assert decoded.settings.seed_peers == ("10.0.0.2:7", "10.0.0.4:8")
+        assert [fault.path for fault in decoded.faults] == ["seeds"]
+
+    @pytest.mark.parametrize(
+        "value", ["", "x", "1:2:3", "10.0.0.1:\u00b2", "a\udcff:1"]
+    )
+    @pytest.mark.parametrize("name", REQUIRED)
+    def test_required_field_is_named(self, name: str, value: str) -> None:
+        if name in ("nodeName", "zone"):
+            value = value and "\udcff"
+        with pytest.raises(SettingsError, match=name):
+            decode_settings(make_text(make_fields() | {name: value}))
+
+    def test_ipv6_addresses(self) -> None:
+        fields = make_fields()
+        for port, name in enumerate(REQUIRED[2:], start=1):
+            fields[name] = f"[::1]:{port}"
+        settings = decode_settings(make_text(fields)).settings
+        assert settings.callers.ip == "::1"
+        assert str(settings.callers) == fields["listenAddresses.front"]
+
+    def test_field_that_stands_twice(self) -> None:
+        text = make_text(make_fields()) + "nodeName=front-2\n"
+        decoded = decode_settings(text)
+        assert decoded.settings.name == "front-2"
+        assert [fault.reason for fault in decoded.faults] == ["stands twice"]
+
+    @pytest.mark.parametrize("value", ["", "x", "nan", "0x7f", "\udcff"])
+    def test_host_starts_without_any_field_that_it_can_do_without(
+        self, tmp_path: Path, value: str
+    ) -> None:
+        fields = make_fields() | dict.fromkeys(OPTIONAL, value)
+        data = make_text(fields).encode("utf-8", "surrogateescape")
+        with StartedHost(folder=tmp_path, text=data) as host:
+            host.wait_for_event("start")
+            paths = {line["path"] for line in host.list_events("settings-fault")}
+            assert paths >= set(NUMBERS)
+            assert get_status(fields["listenAddresses.ready"], "/metrics") == 200
