Decode each object of the store's answers by itself

Callers: while one entry stood in the store whose bytes are no JSON, every list and every answer to a watch that held it counted as unanswered: no change took hold, and a host that started knew no server. An entry of 1 MiB that is JSON held the loop of each host that reads the list for up to 0.4 s.

Cause: an answer was decoded as one document, so that one entry decided for all others, in result and in cost.

Now the list of an answer is split into its rows by a scan that decodes nothing, and each row is decoded by itself. An answer that is no JSON is split where its rows begin. A row that is no JSON, or that has more than 16 KiB and is not the configuration, gives its metadata only. If the fields around the list cannot be read, or the list may be cut off, the answer counts as none: nothing is taken as gone. After each 64 KiB other tasks run. Revisions are whole numbers up to 2**53, no truth values.

Evidence: tests/test_damaged_entries.py puts 41 kinds of damage into each field and key of an entry, at each place of a list, last on a page, in watches and around the list.

Ruled out: decoding in a thread, as the interpreter's lock is held meanwhile; splitting at every bracket outside texts, as one quote too many moves the rest of the list into texts.

--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -4,13 +4,12 @@
 """
 
 import asyncio
-import reprlib
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 from urllib.parse import quote
 
 import aiohttp
@@ -28,9 +27,15 @@
 from ..core.positions import StorePosition
 from ..edge.outgoing_sockets import make_outgoing_socket
 from ..edge.response_handler import StrictResponseHandler
-from ..logs import log_warning
-from .json_documents import decode_json
-from .validation import is_readable
+from .json_rows import looks_like_json
+from .store_objects import (
+    ChangeList,
+    Malformed,
+    StoreObject,
+    decode_changes,
+    decode_object,
+    decode_page,
+)
 
 CONNECT_TIMEOUT_S: Final = 0.5
 CALL_TIMEOUT_S: Final = 1.5
@@ -52,16 +57,6 @@
 EARLIER_ERA: Final = "an answer of an earlier era of the store"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoreObject:
-    """An object in the store; `revision` is the revision of its last change."""
-
-    name: str
-    revision: int
-    spec: Any
-    status: Any
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectList:
     """All objects of a kind, and the position from which a watch continues."""
@@ -70,22 +65,6 @@
     items: tuple[StoreObject, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ObjectChange:
-    """An object that changed or was deleted."""
-
-    item: StoreObject
-    is_deleted: bool
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ChangeList:
-    """Changes up to `position`, from which the watch continues."""
-
-    position: StorePosition
-    changes: tuple[ObjectChange, ...]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HistoryLost:
     """The store no longer has the changes after the requested position."""
@@ -94,7 +73,7 @@
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Response:
     status: int
-    document: Any
+    content: bytes
     era: int
 
 
@@ -142,15 +121,18 @@
             response = await self._call("list", "GET", self._path(kind), params=params)
             if isinstance(response, Unavailable | WriteOutcomeUnknown):
                 return Unavailable(reason=response.reason)
-            page = _parse_page(response)
-            if isinstance(page, Unavailable):
-                return page
-            if position is not None and page.position.era != position.era:
+            if response.status != HTTPStatus.OK:
+                return Unavailable(reason=f"status {response.status}")
+            page = await decode_page(kind, response.content)
+            if isinstance(page, Malformed):
+                return Unavailable(reason=page.reason)
+            if position is not None and response.era != position.era:
                 return Unavailable(reason=ERA_CHANGED)
-            # A watch from the first page's position gets the changes between two pages.
-            position = page.position if position is None else position
+            if position is None:
+                # A watch from here gets the changes between the first and last page.
+                position = StorePosition(era=response.era, revision=page.revision)
             items += page.items
-            if not response.document.get("hasMore"):
+            if not page.has_more:
                 return ObjectList(position=position, items=tuple(items))
             if not page.items:
                 return Unavailable(reason=NO_READABLE_NAME)
@@ -177,7 +159,12 @@
             return Unavailable(reason=response.reason)
         if response.status == HTTPStatus.GONE or response.era != since.era:
             return HistoryLost()
-        return _parse_changes(response)
+        if response.status != HTTPStatus.OK:
+            return Unavailable(reason=f"status {response.status}")
+        changes = await decode_changes(kind, response.content, era=response.era)
+        if isinstance(changes, Malformed):
+            return Unavailable(reason=changes.reason)
+        return changes
 
     async def check_reachable(
         self, kind: str, name: str, *, timeout_s: float
@@ -204,9 +191,11 @@
             return Unavailable(reason=response.reason)
         if response.status == HTTPStatus.NOT_FOUND:
             return ObjectMissing(kind=kind, name=name)
-        item = _parse_object(response.document)
-        if response.status != HTTPStatus.OK or item is None:
+        if response.status != HTTPStatus.OK:
             return Unavailable(reason=f"status {response.status}")
+        item = decode_object(kind, response.content)
+        if item is None:
+            return Unavailable(reason="malformed answer")
         spec = item.spec if isinstance(item.spec, dict) else {}
         return StoredObject(kind=kind, name=name, version=str(item.revision), spec=spec)
 
@@ -232,7 +221,7 @@
         if isinstance(response, Unavailable | WriteOutcomeUnknown):
             return response
         if response.status in (HTTPStatus.OK, HTTPStatus.CREATED):
-            item = _parse_object(response.document)
+            item = decode_object(kind, response.content)
             if item is None:
                 return WriteOutcomeUnknown(reason="malformed answer")
             return WriteAccepted(version=str(item.revision))
@@ -278,11 +267,9 @@
                 self.handle_new_era(era)
         if status in (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE):
             return Unavailable(reason=f"status {status}")
-        try:
-            document = decode_json(content) if content else None
-        except ValueError:
+        if content and not looks_like_json(content):
             return WriteOutcomeUnknown(reason=f"malformed answer of status {status}")
-        return _Response(status=status, document=document, era=era)
+        return _Response(status=status, content=content, era=era)
 
 
 async def _read_bounded(reply: aiohttp.ClientResponse) -> bytes:
@@ -302,56 +289,3 @@
     if value is None or not value.isascii() or not value.isdigit():
         return 0
     return int(value[:MAX_ERA_DIGITS])
-
-
-def _parse_page(response: _Response) -> ObjectList | Unavailable:
-    document = response.document
-    if response.status != HTTPStatus.OK or not isinstance(document, dict):
-        return Unavailable(reason=f"status {response.status}")
-    rows, revision = document.get("items"), document.get("storeRevision")
-    if not isinstance(rows, list) or not isinstance(revision, int):
-        return Unavailable(reason="malformed list")
-    items = [_parse_object(row) for row in rows]
-    return ObjectList(
-        position=StorePosition(era=response.era, revision=revision),
-        items=tuple(item for item in items if item is not None),
-    )
-
-
-def _parse_changes(response: _Response) -> ChangeList | Unavailable:
-    document = response.document
-    if response.status != HTTPStatus.OK or not isinstance(document, dict):
-        return Unavailable(reason=f"status {response.status}")
-    rows, revision = document.get("events"), document.get("storeRevision")
-    if not isinstance(rows, list) or not isinstance(revision, int):
-        return Unavailable(reason="malformed events")
-    changes = []
-    for row in rows:
-        item = _parse_object(row.get("object")) if isinstance(row, dict) else None
-        if item is not None:
-            is_deleted = row.get("deleted") is True
-            changes.append(ObjectChange(item=item, is_deleted=is_deleted))
-    position = StorePosition(era=response.era, revision=revision)
-    return ChangeList(position=position, changes=tuple(changes))
-
-
-def _parse_object(row: Any) -> StoreObject | None:
-    """Return an object, or None after logging that its name or revision is invalid."""
-    metadata = row.get("metadata") if isinstance(row, dict) else None
-    if not isinstance(metadata, dict):
-        metadata = {}
-    name, revision = metadata.get("name"), metadata.get("revision")
-    if not isinstance(name, str) or not is_readable(name):
-        log_warning("object-unreadable", name=reprlib.repr(name))
-        return None
-    if not isinstance(revision, int):
-        log_warning(
-            "object-unreadable", name=name[:80], revision=reprlib.repr(revision)
-        )
-        return None
-    return StoreObject(
-        name=name,
-        revision=revision,
-        spec=row.get("spec"),
-        status=row.get("status"),
-    )
--- a/src/siskinpier/platform/store_watcher.py
+++ b/src/siskinpier/platform/store_watcher.py
@@ -27,15 +27,17 @@
 from .store import (
     MAX_RETRY_DELAY_S,
     MIN_RETRY_DELAY_S,
-    ChangeList,
     HistoryLost,
     ObjectList,
     StoreClient,
+)
+from .store_objects import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    ChangeList,
     StoreObject,
 )
 
-CONFIGURATION_KIND: Final = "config"
-CONFIGURATION_NAME: Final = "main"
 SERVERS_KIND: Final = "servers"
 # How long a watch waits for a change, seconds; the store allows 30. If the connection
 # breaks silently in that time, the operating system closes it: `make_outgoing_socket`
