Take a redirect of the store as no answer

Operators: a redirect at the store's address was followed, up to ten times: each list or watch cost ten calls, which are priced, and a write was sent ten times with its body after 307 and 308, possibly to another machine.

Cause: the HTTP library follows redirects unless told not to; its repeating of failed calls was switched off for writes before, this was not.

--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -250,7 +250,12 @@
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._session.request(
-                method, path, params=params, json=body, timeout=timeout
+                method,
+                path,
+                params=params,
+                json=body,
+                timeout=timeout,
+                allow_redirects=False,
             ) as reply:
                 content = await _read_bounded(reply)
                 status = reply.status
