Bound the memory of all request bodies together

A host that many callers sent large bodies to at once grew beyond the 200 MB of the smallest machine, and beyond the 300 MB of the others, where the platform kills it: each body is within the operator's limit, but nothing bounded their sum. Up to 256 KiB of each waits with its call, and each connection read 256 KiB at a time before any call took it.

A call whose body finds no room is refused before it is read (503, not run, Retry-After), by its announced length or, in chunks, at the chunk that finds none; its id is logged and counted as other refusals. The rest of its body is discarded as it arrives, as closing the connection could reset it before the caller has read the refusal.

--- a/src/siskinpier/edge/bodies.py
+++ b/src/siskinpier/edge/bodies.py
@@ -2,14 +2,21 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import Final
 
 import anyio
 
 from ..core.verdict import Problem, Verdict
 from ..settings.host import LimitSettings
+from .body_memory import BodyShare
 from .headers import IDEMPOTENCY_KEY_HEADER, Headers, get_header
 from .responses import Receive
 
+# Bytes of a streamed body that are held besides its buffered part: what was read last,
+# and what arrived since.
+STREAM_BYTES: Final = 262_144
+NO_ROOM_RETRY_AFTER_S: Final = 0.5
+
 
 class CallerDisconnectedError(Exception):
     """The caller disconnected before the end of its request."""
@@ -51,10 +58,20 @@
 Body = bytes | StreamedBody
 
 
+def must_close(problem: Problem, headers: Headers) -> bool:
+    """Return True if a connection cannot be used after its body was refused.
+
+    For lack of room, the rest of the body is discarded as it arrives: closing the
+    connection could reset it before the caller has read the refusal. A caller that was
+    told to wait for 100 (Continue) sends no rest.
+    """
+    return problem.status != 503 or get_header(headers, b"expect") is not None
+
+
 async def read_body(
-    headers: Headers, receive: Receive, limits: LimitSettings
+    headers: Headers, receive: Receive, limits: LimitSettings, share: BodyShare
 ) -> Body | Problem:
-    """Return the body, or a problem if it is too large or too slow.
+    """Return the body, or a problem if it is too large, too slow or finds no room.
 
     Raises `CallerDisconnectedError`. The body of a call with an idempotency key is
     never streamed: the key is bound to a digest that covers it.
@@ -66,15 +83,21 @@
     limit_bytes = limits.buffered_body_bytes if has_key else limits.body_bytes
     if length is not None and int(length) > limit_bytes:
         return _make_too_large_problem(limit_bytes)
+    if length is not None:
+        held_bytes = limits.buffered_body_bytes + STREAM_BYTES
+        if not share.grow_to(min(int(length), held_bytes)):
+            return _make_no_room_problem()
     with anyio.move_on_after(limits.body_timeout_s):
-        body = await _receive_body(receive, limits)
+        body = await _receive_body(receive, limits, share)
         if isinstance(body, StreamedBody) and has_key:
             return _make_too_large_problem(limit_bytes)
         return body
     return _make_too_slow_problem(limits.body_timeout_s)
 
 
-async def _receive_body(receive: Receive, limits: LimitSettings) -> Body:
+async def _receive_body(
+    receive: Receive, limits: LimitSettings, share: BodyShare
+) -> Body | Problem:
     parts: list[bytes] = []
     size = 0
     while True:
@@ -84,9 +107,13 @@
         part: bytes = message.get("body", b"")
         parts.append(part)
         size += len(part)
+        if not share.grow_to(size):
+            return _make_no_room_problem()
         if not message.get("more_body", False):
             return b"".join(parts)
         if size > limits.buffered_body_bytes:
+            if not share.grow_to(size + STREAM_BYTES):
+                return _make_no_room_problem()
             return StreamedBody(first=b"".join(parts), receive=receive, limits=limits)
 
 
@@ -106,3 +133,13 @@
         detail=f"the body did not arrive within {timeout_s:g} s",
         verdict=Verdict.NOT_RUN,
     )
+
+
+def _make_no_room_problem() -> Problem:
+    return Problem(
+        status=503,
+        title="No room for the body",
+        detail="the host holds too many request bodies",
+        verdict=Verdict.NOT_RUN,
+        retry_after_s=NO_ROOM_RETRY_AFTER_S,
+    )
--- a/src/siskinpier/edge/caller_connections.py
+++ b/src/siskinpier/edge/caller_connections.py
@@ -18,6 +18,8 @@
 from ..settings.host import LimitSettings
 from .responses import make_problem_response
 
+# All connections may hold the bytes of one read before a call takes them.
+MAX_READ_BYTES: Final = 16_384
 CONNECTION_LIMIT_RETRY_AFTER_S: Final = 1.0
 # Value of SO_LINGER (on, 0 s) with which closing the socket sends a reset.
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
@@ -97,6 +99,8 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Accept a connection, or refuse it if there are too many."""
+        # asyncio's own transports read this attribute; others ignore it.
+        transport.max_size = MAX_READ_BYTES  # type: ignore[attr-defined]
         batching: Any = BatchingTransport(transport)
         super().connection_made(batching)
         self._metrics.connections.inc()
--- a/src/siskinpier/edge/callers.py
+++ b/src/siskinpier/edge/callers.py
@@ -12,8 +12,10 @@
 from ..core.routing.calls import Call
 from ..core.state import Lifecycle
 from ..core.verdict import Problem, Verdict, get_reply_verdict
+from ..logs import log_event
 from .backends import AttemptError, clean_reply_headers
-from .bodies import Body, CallerDisconnectedError, read_body
+from .bodies import Body, CallerDisconnectedError, must_close, read_body
+from .body_memory import BodyShare
 from .caller_connections import CallerConnection
 from .exchange import AbortReply, Exchange, ReplyCopy
 from .headers import (
@@ -64,7 +66,8 @@
             send = make_closing_send(send)
         path: str = scope["path"]
         if path.startswith(CALL_PREFIX):
-            await self._serve_call(scope, receive, send)
+            with self._shell.body_memory.share() as share:
+                await self._serve_call(scope, receive, send, share)
         elif path == "/addresses":
             await self._serve_addresses(scope, send)
         else:
@@ -83,7 +86,9 @@
             return
         await send_json(send, 200, document)
 
-    async def _serve_call(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _serve_call(
+        self, scope: Scope, receive: Receive, send: Send, share: BodyShare
+    ) -> None:
         headers: Headers = list(scope["headers"])
         service, _, rest = scope["path"][len(CALL_PREFIX) :].partition("/")
         fault = find_header_error(headers, scope["http_version"])
@@ -91,12 +96,14 @@
             await send_problem(make_closing_send(send), _make_bad_request(fault), "")
             return
         try:
-            body = await read_body(headers, receive, self._shell.settings.limits)
+            body = await read_body(headers, receive, self._shell.settings.limits, share)
         except CallerDisconnectedError:
             return
         if isinstance(body, Problem):
-            # Otherwise the rest of the body would be parsed as the next request.
-            await send_problem(make_closing_send(send), body, "")
+            self._log_refused_body(body, "")
+            if must_close(body, headers):
+                send = make_closing_send(send)
+            await send_problem(send, body, "")
             return
         call = self._make_call(service, "/" + rest, scope, headers, body)
         exchange = Exchange(
@@ -108,6 +115,20 @@
         )
         await self._run_call(call, exchange, scope["state"]["connection"], send)
 
+    def _log_refused_body(self, problem: Problem, call_id: str) -> None:
+        """Log and count a refusal that the core does not know of."""
+        fields: dict[str, object] = {
+            "call": call_id,
+            "service": "",
+            "status": problem.status,
+            "verdict": problem.verdict,
+            "reason": problem.title,
+            "detail": problem.detail,
+            "retry_after_s": problem.retry_after_s,
+        }
+        self._shell.metrics.count_decision("refuse", fields)
+        log_event("refuse", **fields)
+
     async def _run_call(
         self, call: Call, exchange: Exchange, connection: CallerConnection, send: Send
     ) -> None:
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -54,6 +54,7 @@
 from ..metrics import HostMetrics
 from ..settings.host import HostSettings
 from .backends import AttemptError, BackendClient
+from .body_memory import BodyMemory
 from .exchange import AbortReply, Exchange
 from .header_adapter import HeaderAdapter
 from .headers import Headers
@@ -104,6 +105,7 @@
             handle_message=self._handle_message,
             handle_refusal=self._handle_refusal,
         )
+        self.body_memory = BodyMemory(limit_bytes=settings.limits.all_bodies_bytes)
         self._backends = backends
         self._timers = LoopTimers(clock=clock, fire=self._handle_timer)
         self._orders: dict[str, tuple[anyio.Event, list[OrderResult]]] = {}
--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -8,7 +8,8 @@
 from ..core.routing.calls import Call
 from ..core.state import Lifecycle
 from ..core.verdict import Problem, Verdict
-from ..edge.bodies import CallerDisconnectedError, read_body
+from ..edge.bodies import CallerDisconnectedError, must_close, read_body
+from ..edge.body_memory import BodyShare
 from ..edge.callers import CallerApp
 from ..edge.exchange import Exchange
 from ..edge.headers import (
@@ -70,12 +71,29 @@
         if fault is not None:
             await _send_refusal(make_closing_send(send), 400, fault)
             return
+        with self._shell.body_memory.share() as share:
+            await self._serve_request(scope, receive, send, headers, share)
+
+    async def _serve_request(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        headers: Headers,
+        share: BodyShare,
+    ) -> None:
         try:
-            body = await read_body(headers, receive, self._shell.settings.limits)
+            body = await read_body(headers, receive, self._shell.settings.limits, share)
         except CallerDisconnectedError:
             return
         if isinstance(body, Problem):
-            await _send_refusal(make_closing_send(send), body.status, body.detail)
+            request_id = get_header(headers, REQUEST_ID_HEADER) or b""
+            self._log_refused_body(body, request_id.decode("latin-1"))
+            if must_close(body, headers):
+                send = make_closing_send(send)
+            await _send_refusal(
+                send, body.status, body.detail, retry_after_s=body.retry_after_s
+            )
             return
         target = _get_target(scope)
         caller = make_caller_id(headers)
--- /dev/null
+++ b/tests/test_host_memory.py
@@ -0,0 +1,126 @@
+"""Tests that a host process stays within the memory of the smallest machine."""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import pytest
+
+from tests.standins.platform_host import Deployment, run_deployment
+from tests.standins.process import HANG_TIMEOUT_S
+
+MEMORY_BYTES: Final = 200_000_000
+CALLER_COUNT: Final = 1_500
+# Just below the size from which bodies are streamed.
+BUFFERED_BYTES: Final = 260_000
+STREAMED_BYTES: Final = 900_000
+PATH: Final = "/export/x"  # its calls may take longest
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """The status and header fields of an answer."""
+
+    request_id: str
+    status: int
+    head: str
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[Deployment]:
+    """Run a store, two backend servers that hold all requests, and a host."""
+    with run_deployment(tmp_path) as running:
+        running.set_behavior("hold")
+        yield running
+
+
+def make_head(request_id: str, *fields: str) -> bytes:
+    """Return the head of a request with a body."""
+    lines = [
+        f"POST {PATH} HTTP/1.1",
+        "Host: films.example",
+        f"X-Request-Id: {request_id}",
+        "X-Deadline-Ms: 8000",
+        *fields,
+    ]
+    return "\r\n".join([*lines, "\r\n"]).encode()
+
+
+async def send_body(
+    port: int, request_id: str, size: int, *, chunked: bool = False
+) -> Answer:
+    """Send a request with a body; return its answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    if chunked:
+        head = make_head(request_id, "Transfer-Encoding: chunked")
+        body = f"{size:x}\r\n".encode() + bytes(size) + b"\r\n0\r\n\r\n"
+    else:
+        head, body = make_head(request_id, f"Content-Length: {size}"), bytes(size)
+    writer.write(head + body)
+    try:
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            answer = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    finally:
+        writer.close()
+    status = int(answer.split(" ", 2)[1])
+    return Answer(request_id=request_id, status=status, head=answer.lower())
+
+
+async def send_bodies(port: int, size: int, *, chunked: bool) -> list[Answer]:
+    """Send a request with a body from many callers at once."""
+    calls = [
+        send_body(port, f"call-{number}", size, chunked=chunked)
+        for number in range(CALLER_COUNT)
+    ]
+    return await asyncio.gather(*calls)
+
+
+class TestBodies:
+    """Many callers that send bodies at once."""
+
+    @pytest.mark.parametrize("size", [BUFFERED_BYTES, STREAMED_BYTES])
+    @pytest.mark.parametrize("chunked", [False, True])
+    def test_bodies_beyond_memory_are_refused(
+        self, deployment: Deployment, size: int, chunked: bool
+    ) -> None:
+        port = deployment.host.front
+        answers = asyncio.run(send_bodies(port, size, chunked=chunked))
+        assert deployment.host.get_peak_bytes() < MEMORY_BYTES
+        refused = [answer for answer in answers if answer.status == 503]
+        assert refused
+        assert all("retry-after: " in answer.head for answer in refused)
+        ran = {
+            run["x-request-id"]
+            for backend in deployment.backends.values()
+            for run in backend.runs
+        }
+        assert not ran & {answer.request_id for answer in refused}
+
+    def test_refused_before_the_body_is_sent(self, deployment: Deployment) -> None:
+        port = deployment.host.front
+
+        async def send_only_a_head() -> bytes:
+            holders = [
+                asyncio.create_task(send_body(port, f"call-{n}", BUFFERED_BYTES))
+                for n in range(CALLER_COUNT)
+            ]
+            await asyncio.wait(holders, return_when=asyncio.FIRST_COMPLETED)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(make_head("late", f"Content-Length: {STREAMED_BYTES}"))
+            async with asyncio.timeout(HANG_TIMEOUT_S):
+                status = await reader.readline()
+            writer.close()
+            for holder in holders:
+                holder.cancel()
+            return status
+
+        assert b" 503 " in asyncio.run(send_only_a_head())
+
+    def test_memory_is_free_again_after_the_calls(self, deployment: Deployment) -> None:
+        port = deployment.host.front
+        asyncio.run(send_bodies(port, BUFFERED_BYTES, chunked=False))
+        deployment.set_behavior("answer")
+        answer = asyncio.run(send_body(port, "late", BUFFERED_BYTES))
+        assert answer.status == 200
