Read pages with an object of the largest size, however it is escaped

Callers: an object of the size that the store allows takes up to six times as many bytes in an answer, if its bytes are written as escapes. A page with one was longer than the limit of 2 MiB, so the list counted as unanswered for as long as the object stood there, and so did an answer to a watch.

The limit is 8 MiB now: six times the largest object, and a page beside it.

--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -45,8 +45,9 @@
 # How much longer than its wait time a watch may take to respond, seconds.
 WATCH_GRACE_S: Final = 1.0
 MAX_LIST_PAGES: Final = 100
-# A page of a list holds about a megabyte, or one object of that size.
-MAX_RESPONSE_BYTES: Final = 2_097_152
+# A page of a list holds about a megabyte, or one object of that size, of which each
+# byte may be written as an escape of six.
+MAX_RESPONSE_BYTES: Final = 8_388_608
 # The era rises by one each time the store is restored from an older copy of itself.
 ERA_HEADER: Final = "Store-Era"
 MAX_ERA_DIGITS: Final = 15
--- a/tests/test_store_answers.py
+++ b/tests/test_store_answers.py
@@ -11,9 +11,10 @@
 
 from siskinpier.core.platform_results import Unavailable, WriteOutcomeUnknown
 from siskinpier.core.positions import StorePosition
-from siskinpier.platform.store import StoreClient
+from siskinpier.platform.store import ObjectList, StoreClient
 from tests.standins.raw_store import RawStore, make_reply, run_raw_store
 
+VALUE_BYTES: Final = 1_048_576
 REDIRECTS: Final = ["301 Moved", "302 Found", "303 See Other", "307 T", "308 P"]
 
 
@@ -63,3 +64,24 @@
         result = asyncio.run(run())
         assert isinstance(result, Unavailable | WriteOutcomeUnknown), result
         assert len(store.queries) == 1
+
+
+class TestLargePages:
+    """An object of the size that the store allows hides nothing, however it is sent."""
+
+    @pytest.mark.parametrize("escape", [b"x", b"\\n", b"\\u0001", b"\\udcff"])
+    def test_largest_object_is_listed(self, escape: bytes) -> None:
+        async def run() -> object:
+            async with run_raw_store(store) as client:
+                return await client.list_all("servers")
+
+        row = b'{"metadata":{"name":"%b","revision":1},"spec":"%b"}'
+        odd = row % (b"b", escape * VALUE_BYTES)
+        rows = b",".join([row % (b"a", b""), odd, row % (b"z", b"")])
+        store = RawStore()
+        store.reply = make_reply(
+            b'{"items":[%b],"hasMore":false,"storeRevision":1}' % rows
+        )
+        listed = asyncio.run(run())
+        assert isinstance(listed, ObjectList), listed
+        assert [item.name for item in listed.items] == ["a", "b", "z"]
