--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -6,17 +6,19 @@
 import sys
 import time
 from functools import partial
-from pathlib import Path
 from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
 
+from .. import __version__
 from ..core.events import HostStarted
 from ..core.state import CoreSettings, HostIdentity, HostState, make_state
 from ..edge.backends import BackendClient
 from ..edge.serving import (
     handle_signals,
+    install_failure_log,
+    log_end,
     make_caller_server,
     make_clock,
     tune_garbage_collector,
@@ -24,6 +26,7 @@
 from ..edge.shell import Shell
 from ..edge.sockets import make_listener
 from ..exit_codes import ExitCode
+from ..failures import describe_error, describe_trace
 from ..log_writer import NonBlockingHandler
 from ..logs import configure_logging, log_event, log_warning
 from ..metrics import HostMetrics
@@ -39,13 +42,8 @@
 from .headers import REQUEST_ID_HEADER, PlatformHeaderAdapter
 from .registration import HostRegistration
 from .reload import SettingsWatcher
-from .settings import (
-    PATH_VARIABLE,
-    AdapterSettings,
-    ListenAddress,
-    SettingsError,
-    parse_settings,
-)
+from .settings import PATH_VARIABLE, AdapterSettings, ListenAddress
+from .starting import StartCancelledError, StartError, listen, read_settings
 from .store import StoreClient
 from .store_watcher import StoreWatcher
 
@@ -77,27 +75,41 @@
     """Run a host until it is stopped, and return the exit code."""
     writer = NonBlockingHandler(fd=sys.stdout.fileno())
     configure_logging(writer)
+    log_event(
+        "boot",
+        pid=os.getpid(),
+        version=__version__,
+        python=sys.version.partition(" ")[0],
+        machine=os.uname().machine,
+    )
+    code = ExitCode.INTERNAL
     try:
-        settings = parse_settings(Path(path).read_text(encoding="utf-8"))
-        sockets = [
-            make_listener(Address(ip=address.ip, port=address.port))
-            for address in (
-                settings.callers,
-                settings.readiness,
-                settings.addresses,
-                settings.peers,
-            )
-        ]
-        metrics = _listen_for_metrics(settings.ip)
-    except (OSError, SettingsError, UnicodeDecodeError) as exc:
-        print(f"siskinpier: cannot start: {path}: {exc}", file=sys.stderr)
+        code = _start_and_run(path, writer)
+    except Exception as exc:
+        log_warning("crash", error=describe_error(exc), trace=describe_trace(exc))
+        raise
+    finally:
+        log_event("exit", code=int(code))
+    return code
+
+
+def _start_and_run(path: str, writer: NonBlockingHandler) -> ExitCode:
+    try:
+        settings = read_settings(path)
+        sockets = listen(settings)
+    except StartError as exc:
+        log_warning("cannot-start", stage=exc.stage, reason=exc.reason)
+        print(f"siskinpier: cannot start: {path}: {exc.reason}", file=sys.stderr)
         return ExitCode.BAD_INPUT
-    anyio.run(
+    except StartCancelledError as exc:
+        log_event("start-cancelled", stage=exc.stage)
+        return ExitCode.OK
+    metrics = _listen_for_metrics(settings.ip)
+    return anyio.run(
         partial(_run, path, settings, sockets, metrics, writer),
         backend="asyncio",
         backend_options={"use_uvloop": False},
     )
-    return ExitCode.OK
 
 
 async def _run(
@@ -106,7 +118,7 @@
     sockets: list[socket.socket],
     metrics: list[socket.socket],
     writer: NonBlockingHandler,
-) -> None:
+) -> ExitCode:
     backends = BackendClient(
         id_field=REQUEST_ID_HEADER, echoes_id=True, keep_alive_s=MAX_BACKEND_IDLE_S
     )
@@ -123,6 +135,7 @@
         metrics=HostMetrics(),
         dropped_lines=writer.dropped_lines,
     )
+    install_failure_log(shell.failures, writer)
     settings_watcher = SettingsWatcher(path=path, settings=settings)
     store_watcher = StoreWatcher(shell=shell, store=store, settings=settings)
     registration = HostRegistration(shell=shell, store=store, settings=settings)
@@ -138,10 +151,14 @@
                 tasks,
             )
             tasks.cancel_scope.cancel()
+    except Exception as exc:
+        shell.failures.record("host", exc)
+        shell.failed_part = "host"
     finally:
         with anyio.CancelScope(shield=True):
             await backends.aclose()
             await store.aclose()
+    return log_end(shell)
 
 
 async def _serve(
@@ -173,7 +190,6 @@
         await shell.stopped.wait()
         caller_server.should_exit = True
         servers.cancel_scope.deadline = anyio.current_time() + FLUSH_WAIT_S
-    log_event("end", host=shell.settings.name)
 
 
 def _listen_for_metrics(ip: str) -> list[socket.socket]:
--- /dev/null
+++ b/tests/test_process_start.py
@@ -0,0 +1,299 @@
+"""Guards against host processes that end, or never get ready, as they start.
+
+What is not right at that moment (settings, ports, signals, descriptors) may be right a
+moment later, and a process that ends by itself is out until it is started again.
+"""
+
+import json
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from siskinpier.exit_codes import ExitCode
+from siskinpier.platform.settings import SettingsError, decode_settings
+from tests.standins.process import LOOPBACK
+from tests.standins.started_host import (
+    NO_STORE,
+    Gate,
+    StartedHost,
+    get_status,
+    make_fields,
+    make_text,
+)
+
+# Signals that must end no host; the default action of each ends a process.
+HARMLESS = [
+    signal.SIGHUP,
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+    signal.SIGALRM,
+    signal.SIGVTALRM,
+    signal.SIGPROF,
+    signal.SIGIO,
+]
+STOPS = [signal.SIGTERM, signal.SIGINT]
+
+CRASH = """
+from siskinpier.platform import process
+def fail(*args, **kwargs):
+    raise RuntimeError("no loop")
+process.anyio.run = fail
+process.main()
+"""
+
+# Fields that a host can do without, and texts that are no usable value of any of them.
+NUMBERS = [
+    "limits.cpuShare",
+    "limits.linkMbps",
+    "bounds.gracePeriodS",
+    "bounds.ttl_max_s",
+    "bounds.probesPerS",
+    "bounds.retryBudgetRatio",
+    "bounds.retryBudgetSlack",
+    "bounds.retryWindowS",
+    "platform.writesPerS",
+]
+OPTIONAL = [*NUMBERS, "region", "ipAddress", "internalPortRange", "seeds"]
+BAD_NUMBERS = [
+    "",
+    "-1",
+    "true",
+    "never",
+    "nan",
+    "inf",
+    "-inf",
+    "1e400",
+    "1e300",
+    "9" * 5_000,
+    "\u0663",
+    "\u00b2",
+    "[]",
+    '{"a": 1}',
+    "1,2",
+    "\udcff",
+]
+REQUIRED = [
+    "nodeName",
+    "zone",
+    "platform.address",
+    *(f"listenAddresses.{name}" for name in ("front", "ready", "control", "directory")),
+]
+
+
+def make_product_settings() -> dict[str, Any]:
+    """Return settings of a host of the product's own, whose platform is not there."""
+    return {
+        "name": "host-1",
+        "failure_domain": "d1",
+        "region": "r1",
+        "callers": {"ip": LOOPBACK, "port": 0},
+        "operators": {"ip": LOOPBACK, "port": 0},
+        "peers": {"ip": LOOPBACK, "port": 0},
+        "platform": {"url": f"http://{NO_STORE}"},
+        "security": {"operator_token": "t" * 16, "peer_key": "k" * 16},
+        "shutdown": {"announce_s": 0.1},
+        "address_ttl_s": 0.1,
+    }
+
+
+class TestLogOfTheStart:
+    """Each stage of a start and each way to end has a log line of its own."""
+
+    def test_stages_and_end(self, tmp_path: Path) -> None:
+        with StartedHost(folder=tmp_path, text=make_text(make_fields())) as host:
+            host.wait_for_event("start")
+            host.child.send_signal(signal.SIGTERM)
+            assert host.wait_exit() == ExitCode.OK
+            for event in ("boot", "settings", "listening", "start", "end"):
+                assert len(host.list_events(event)) == 1, event
+            (line,) = host.list_events("exit")
+            assert line["code"] == "0"
+
+    def test_settings_that_cannot_be_used(self, tmp_path: Path) -> None:
+        fields = make_fields() | {"listenAddresses.front": "nowhere"}
+        with StartedHost(folder=tmp_path, text=make_text(fields)) as host:
+            assert host.wait_exit() == ExitCode.BAD_INPUT
+            (line,) = host.list_events("cannot-start")
+            assert line["stage"] == "settings"
+            assert "listenAddresses.front" in line["reason"]
+            assert host.list_events("exit")[0]["code"] == "2"
+
+    def test_port_that_stays_taken(self, tmp_path: Path) -> None:
+        with socket.create_server((LOOPBACK, 0)) as other:
+            taken = f"{LOOPBACK}:{other.getsockname()[1]}"
+            fields = make_fields() | {"listenAddresses.ready": taken}
+            with StartedHost(folder=tmp_path, text=make_text(fields)) as host:
+                assert host.wait_exit() == ExitCode.BAD_INPUT
+                (line,) = host.list_events("cannot-start")
+                assert line["stage"] == "listen"
+                assert taken in line["reason"]
+
+    def test_crash(self, tmp_path: Path) -> None:
+        text = make_text(make_fields())
+        with StartedHost(folder=tmp_path, text=text, args=("-c", CRASH)) as host:
+            assert host.wait_exit() == ExitCode.INTERNAL
+            (line,) = host.list_events("crash")
+            assert "no loop" in line["error"]
+            assert ":fail" in line["trace"]
+            assert host.list_events("exit")[0]["code"] == "1"
+
+
+class TestSignals:
+    """Only SIGTERM and SIGINT end a host, with exit code 0, at whatever time."""
+
+    @pytest.mark.parametrize("number", HARMLESS)
+    def test_signal_while_modules_load_ends_no_host(
+        self, tmp_path: Path, number: signal.Signals
+    ) -> None:
+        gate = Gate(folder=tmp_path / "gate", module="anyio")
+        text = make_text(make_fields())
+        with StartedHost(folder=tmp_path, text=text, environ=gate.environ) as host:
+            host.wait_at(gate)
+            host.child.send_signal(number)
+            gate.open()
+            host.wait_for_event("start")
+            host.child.send_signal(number)
+            host.child.send_signal(signal.SIGTERM)
+            assert host.wait_exit() == ExitCode.OK
+
+    @pytest.mark.parametrize("number", STOPS)
+    def test_stop_while_modules_load_ends_with_code_0(
+        self, tmp_path: Path, number: signal.Signals
+    ) -> None:
+        gate = Gate(folder=tmp_path / "gate", module="anyio")
+        text = make_text(make_fields())
+        with StartedHost(folder=tmp_path, text=text, environ=gate.environ) as host:
+            host.wait_at(gate)
+            host.child.send_signal(number)
+            gate.open()
+            assert host.wait_exit() == ExitCode.OK
+            assert host.list_events("start") == []
+            assert host.list_events("start-cancelled")[0]["stage"] == "settings"
+
+    def test_hup_while_modules_load_is_a_reload(self, tmp_path: Path) -> None:
+        gate = Gate(folder=tmp_path / "gate", module="anyio")
+        text = make_text(make_fields())
+        with StartedHost(folder=tmp_path, text=text, environ=gate.environ) as host:
+            host.wait_at(gate)
+            host.child.send_signal(signal.SIGHUP)
+            gate.open()
+            host.wait_for_event("reload")
+
+    @pytest.mark.parametrize("number", [*HARMLESS, *STOPS])
+    def test_signal_after_the_last_task_keeps_the_exit_code(
+        self, tmp_path: Path, number: signal.Signals
+    ) -> None:
+        gate = Gate(folder=tmp_path / "gate", module=None)
+        text = make_text(make_fields())
+        with StartedHost(folder=tmp_path, text=text, environ=gate.environ) as host:
+            host.wait_for_event("start")
+            host.child.send_signal(signal.SIGTERM)
+            host.wait_at(gate)
+            host.child.send_signal(number)
+            gate.open()
+            assert host.wait_exit() == ExitCode.OK
+
+    @pytest.mark.parametrize("module", ["siskinpier.edge.host", None])
+    def test_hup_never_ends_the_product_s_own_host(
+        self, tmp_path: Path, module: str | None
+    ) -> None:
+        gate = Gate(folder=tmp_path / "gate", module=module)
+        settings = tmp_path / "host.json"
+        settings.write_text(json.dumps(make_product_settings()))
+        args = ("-m", "siskinpier", "serve", str(settings))
+        with StartedHost(
+            folder=tmp_path, text=None, args=args, environ=gate.environ
+        ) as host:
+            if module is None:
+                host.wait_for_event("start")
+                host.child.send_signal(signal.SIGTERM)
+            host.wait_at(gate)
+            host.child.send_signal(signal.SIGHUP)
+            gate.open()
+            if module is not None:
+                host.wait_for_event("start")
+                host.child.send_signal(signal.SIGTERM)
+            assert host.wait_exit() == ExitCode.OK
+
+
+class TestFields:
+    """Only the fields that a host cannot do without stop its start."""
+
+    @pytest.mark.parametrize("value", BAD_NUMBERS)
+    @pytest.mark.parametrize("name", NUMBERS)
+    def test_number_that_cannot_be_used_takes_its_default(
+        self, name: str, value: str
+    ) -> None:
+        fields = make_fields()
+        usual = decode_settings(make_text(fields)).settings
+        decoded = decode_settings(make_text(fields | {name: value}))
+        assert decoded.settings == usual
+        assert [fault.path for fault in decoded.faults] == [name]
+
+    @pytest.mark.parametrize(
+        "value", ["", "x,y", ",", "70000,70001", "-1,5", "9" * 5_000]
+    )
+    def test_port_range_that_cannot_be_used(self, value: str) -> None:
+        text = make_text(make_fields() | {"internalPortRange": value})
+        decoded = decode_settings(text)
+        assert decoded.settings.operators.port == 0
+        assert [fault.path for fault in decoded.faults] == ["internalPortRange"]
+
+    @pytest.mark.parametrize(
+        "line",
+        [
+            *(f"{name}.deep.er=x\n" for name in [*OPTIONAL, *REQUIRED]),
+            *(f"{name}=x\n" for name in ("limits", "bounds", "platform")),
+            "listenAddresses=x\n",
+        ],
+    )
+    def test_table_where_a_value_stood_and_the_reverse(self, line: str) -> None:
+        text = make_text(make_fields() | {"limits.cpuShare": "0.5"})
+        usual = decode_settings(text)
+        assert decode_settings(line + text) == usual
+        assert decode_settings(text + line) == usual
+
+    def test_seeds_that_are_no_addresses_are_passed_over(self) -> None:
+        seeds = "nonsense,:::,10.0.0.1:0,,10.0.0.2:7,10.0.0.3:70000, 10.0.0.4:8"
+        decoded = decode_settings(make_text(make_fields() | {"seeds": seeds}))
+        assert decoded.settings.seed_peers == ("10.0.0.2:7", "10.0.0.4:8")
+        assert [fault.path for fault in decoded.faults] == ["seeds"]
+
+    @pytest.mark.parametrize(
+        "value", ["", "x", "1:2:3", "10.0.0.1:\u00b2", "a\udcff:1"]
+    )
+    @pytest.mark.parametrize("name", REQUIRED)
+    def test_required_field_is_named(self, name: str, value: str) -> None:
+        if name in ("nodeName", "zone"):
+            value = value and "\udcff"
+        with pytest.raises(SettingsError, match=name):
+            decode_settings(make_text(make_fields() | {name: value}))
+
+    def test_ipv6_addresses(self) -> None:
+        fields = make_fields()
+        for port, name in enumerate(REQUIRED[2:], start=1):
+            fields[name] = f"[::1]:{port}"
+        settings = decode_settings(make_text(fields)).settings
+        assert settings.callers.ip == "::1"
+        assert str(settings.callers) == fields["listenAddresses.front"]
+
+    def test_field_that_stands_twice(self) -> None:
+        text = make_text(make_fields()) + "nodeName=front-2\n"
+        decoded = decode_settings(text)
+        assert decoded.settings.name == "front-2"
+        assert [fault.reason for fault in decoded.faults] == ["stands twice"]
+
+    @pytest.mark.parametrize("value", ["", "x", "nan", "0x7f", "\udcff"])
+    def test_host_starts_without_any_field_that_it_can_do_without(
+        self, tmp_path: Path, value: str
+    ) -> None:
+        fields = make_fields() | dict.fromkeys(OPTIONAL, value)
+        data = make_text(fields).encode("utf-8", "surrogateescape")
+        with StartedHost(folder=tmp_path, text=data) as host:
+            host.wait_for_event("start")
+            paths = {line["path"] for line in host.list_events("settings-fault")}
+            assert paths >= set(NUMBERS)
+            assert get_status(fields["listenAddresses.ready"], "/metrics") == 200
