Wait between calls of the store that bring a host no further

Operators: calls of the store are priced and limited for all hosts together. A watching host repeated a watch that was answered at once without a usable change, and a list whose history was gone again, at full speed: 831 and 819 calls of one kind in 2 s for two of these answers and 1,294 for the third. A list whose pages do not go on took 100 calls each time, 345 in 2 s.

Cause: only usable changes and failures were followed by a delay. An entry of another writer that changes often, and a store that keeps no history, need no fault of the store to get there.

Now a watch without changes is repeated after 0.4 s at the earliest, the time in which changes are collected anyway, and a kind is listed again 1 s after the list before. The first list after a long watch is not delayed. A list that names the same page twice counts as unanswered.

--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -55,7 +55,7 @@
 UNKNOWN_ERA: Final = -1
 # Sorts after the names of all objects.
 LAST_NAME: Final = "~"
-NO_READABLE_NAME: Final = "no readable name to continue a list from"
+CANNOT_CONTINUE: Final = "no name to continue a list from"
 ERA_CHANGED: Final = "the store came back from an older copy meanwhile"
 EARLIER_ERA: Final = "an answer of an earlier era of the store"
 
@@ -137,9 +137,9 @@
             items += page.items
             if not page.has_more:
                 return ObjectList(position=position, items=tuple(items))
-            if not page.items:
-                return Unavailable(reason=NO_READABLE_NAME)
-            params["after"] = page.items[-1].name
+            if page.last_name is None or page.last_name == params.get("after"):
+                return Unavailable(reason=CANNOT_CONTINUE)
+            params["after"] = page.last_name
         return Unavailable(reason=f"more than {MAX_LIST_PAGES} pages")
 
     async def watch(
--- a/src/siskinpier/platform/store_objects.py
+++ b/src/siskinpier/platform/store_objects.py
@@ -51,11 +51,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectPage:
-    """Some objects of a kind; with `has_more`, further pages follow."""
+    """Some objects of a kind; with `has_more`, further pages follow.
+
+    `last_name` is the name after which the next page begins, if one is readable.
+    """
 
     revision: int
     items: tuple[StoreObject, ...]
     has_more: bool
+    last_name: str | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,10 +124,12 @@
     documents = _decode_rows(kind, answer.items, slices)
     found = [_make_object(document, log) async for document in documents]
     log.end()
+    items = tuple(item for item in found if item is not None)
     return ObjectPage(
         revision=answer.revision,
-        items=tuple(item for item in found if item is not None),
+        items=items,
         has_more=bool(answer.has_more),
+        last_name=items[-1].name if items else None,
     )
 
 
--- a/src/siskinpier/platform/store_watcher.py
+++ b/src/siskinpier/platform/store_watcher.py
@@ -43,8 +43,12 @@
 # breaks silently in that time, the operating system closes it: `make_outgoing_socket`
 # sets the socket options for that.
 WATCH_TIMEOUT_S: Final = 25.0
-# Changes that arrive within this time are handled together, seconds.
+# Changes that arrive within this time are handled together, and a watch without changes
+# is not repeated before it has passed, seconds.
 CHANGE_BATCHING_S: Final = 0.4
+# Shortest interval between two lists of a kind while the history after each is gone,
+# seconds.
+MIN_LIST_INTERVAL_S: Final = 1.0
 # How often a watching host checks that the store still answers it, and how long it
 # waits for the answer, seconds.
 CHECK_INTERVAL_S: Final = 0.5
@@ -124,6 +128,7 @@
     async def _watch_configuration(self) -> Unavailable:
         """Read the configuration and watch it; return the failure that ended this."""
         while True:
+            listed_at = self._shell.clock()
             listed = await self._store.list_all(CONFIGURATION_KIND)
             if isinstance(listed, Unavailable):
                 return listed
@@ -135,6 +140,7 @@
             )
             if failure is not None:
                 return failure
+            await self._sleep_until(listed_at + MIN_LIST_INTERVAL_S)
 
     async def _watch_servers(self) -> Unavailable:
         """List the servers and watch them; return the failure that ended this.
@@ -143,6 +149,7 @@
         servers have written their entries.
         """
         while True:
+            listed_at = self._shell.clock()
             known_era = self._shell.state.registry.position.era
             listed = await self._store.list_all(SERVERS_KIND)
             if isinstance(listed, Unavailable):
@@ -158,6 +165,7 @@
             )
             if failure is not None:
                 return failure
+            await self._sleep_until(listed_at + MIN_LIST_INTERVAL_S)
 
     async def _watch(
         self,
@@ -189,6 +197,7 @@
         until = self._shell.clock() + for_s
         while (left_s := until - self._shell.clock()) > 0.0:
             since = progress.position
+            watched_at = self._shell.clock()
             result = await self._store.watch(
                 kind, since=since, wait_s=min(WATCH_TIMEOUT_S, left_s)
             )
@@ -203,6 +212,8 @@
             if result.changes:
                 handle_changes(result)
                 await anyio.sleep(CHANGE_BATCHING_S)
+            else:
+                await self._sleep_until(watched_at + CHANGE_BATCHING_S)
         return None
 
     async def _check_store(self) -> None:
@@ -253,6 +264,9 @@
             progress.position = max(since, result.position)
             progress.behind_since = None
 
+    async def _sleep_until(self, at: float) -> None:
+        await anyio.sleep(max(0.0, at - self._shell.clock()))
+
     def _report_reached(self) -> None:
         """Report to the core that the store answers."""
         shell = self._shell
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -34,6 +34,9 @@
         self.unlisted_kinds: set[str] = set()
         # Delay of each response.
         self.delay_s = 0.0
+        # Status and body of every answer to a watch or list, in place of the right one.
+        self.watch_reply: tuple[int, bytes] | None = None
+        self.list_reply: tuple[int, bytes] | None = None
         # Bytes that replace others in every response, to send what is no JSON text.
         self.replacements: dict[bytes, bytes] = {}
         # Kinds of which the next changes are never answered to the watches that wait.
@@ -102,7 +105,10 @@
     async def _handle_read(
         self, kind: str, name: str, params: dict[str, str], send: Send
     ) -> None:
-        if name:
+        reply = self.watch_reply if "watch" in params else self.list_reply
+        if reply is not None and not name:
+            await self._send(send, *reply)
+        elif name:
             item = self.objects.get((kind, name))
             await self._reply(send, 404 if item is None else 200, item)
         elif "watch" in params:
@@ -163,6 +169,9 @@
         content = json.dumps(document).encode()
         for old, new in self.replacements.items():
             content = content.replace(old, new)
+        await self._send(send, status, content)
+
+    async def _send(self, send: Send, status: int, content: bytes) -> None:
         headers = [(b"content-length", str(len(content)).encode())]
         era = self.raw_era
         if era is None and self.era is not None:
