--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -45,8 +45,9 @@
 # How much longer than its wait time a watch may take to respond, seconds.
 WATCH_GRACE_S: Final = 1.0
 MAX_LIST_PAGES: Final = 100
-# A page of a list holds about a megabyte, or one object of that size.
-MAX_RESPONSE_BYTES: Final = 2_097_152
+# A page of a list holds about a megabyte, or one object of that size, of which each
+# byte may be written as an escape of six.
+MAX_RESPONSE_BYTES: Final = 8_388_608
 # The era rises by one each time the store is restored from an older copy of itself.
 ERA_HEADER: Final = "Store-Era"
 MAX_ERA_DIGITS: Final = 15
@@ -54,7 +55,7 @@
 UNKNOWN_ERA: Final = -1
 # Sorts after the names of all objects.
 LAST_NAME: Final = "~"
-NO_READABLE_NAME: Final = "no readable name to continue a list from"
+CANNOT_CONTINUE: Final = "no name to continue a list from"
 ERA_CHANGED: Final = "the store came back from an older copy meanwhile"
 EARLIER_ERA: Final = "an answer of an earlier era of the store"
 
@@ -136,9 +137,9 @@
             items += page.items
             if not page.has_more:
                 return ObjectList(position=position, items=tuple(items))
-            if not page.items:
-                return Unavailable(reason=NO_READABLE_NAME)
-            params["after"] = page.items[-1].name
+            if page.last_name is None or page.last_name == params.get("after"):
+                return Unavailable(reason=CANNOT_CONTINUE)
+            params["after"] = page.last_name
         return Unavailable(reason=f"more than {MAX_LIST_PAGES} pages")
 
     async def watch(
