Wait for settings that are being written as a host starts

A host ended with exit code 2 where its settings file was missing, empty or half written at the moment of its start, though it was complete some tenths of a second later. The platform writes the file in place at every start and whenever settings change.

SIGTERM ends the wait with 0, SIGHUP does not end it.

--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -41,7 +41,7 @@
 from .registration import HostRegistration
 from .reload import SettingsWatcher
 from .settings import PATH_VARIABLE, AdapterSettings, ListenAddress
-from .starting import StartCancelledError, StartError, listen, read_settings
+from .starting import CancelledStartError, StartError, listen, read_settings
 from .store import StoreClient
 from .store_watcher import StoreWatcher
 
@@ -102,7 +102,7 @@
         log_warning("cannot-start", stage=exc.stage, reason=exc.reason)
         print(f"siskinpier: cannot start: {path}: {exc.reason}", file=sys.stderr)
         return ExitCode.BAD_INPUT
-    except StartCancelledError as exc:
+    except CancelledStartError as exc:
         log_event("start-cancelled", stage=exc.stage)
         return ExitCode.OK
     metrics = _listen_for_metrics(settings.ip)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -13,6 +13,7 @@
 import pytest
 
 from siskinpier.exit_codes import ExitCode
+from siskinpier.platform import starting
 from siskinpier.platform.settings import SettingsError, decode_settings
 from tests.standins.process import LOOPBACK
 from tests.standins.started_host import (
@@ -297,3 +298,56 @@
             paths = {line["path"] for line in host.list_events("settings-fault")}
             assert paths >= set(NUMBERS)
             assert get_status(fields["listenAddresses.ready"], "/metrics") == 200
+
+
+def make_unfinished_texts() -> dict[str, str | None]:
+    """Return texts of a settings file that is being written, by name."""
+    text = make_text(make_fields())
+    return {
+        "missing": None,
+        "empty": "",
+        "half": text[: len(text) // 2],
+        "cut in the last field": text[: text.index("platform.address") + 18],
+    }
+
+
+class TestUnfinishedSettings:
+    """A host waits for settings that are being written as it starts."""
+
+    @pytest.mark.parametrize("name", make_unfinished_texts())
+    def test_settings_that_are_complete_later(self, tmp_path: Path, name: str) -> None:
+        text = make_unfinished_texts()[name]
+        with StartedHost(folder=tmp_path, text=text) as host:
+            assert host.wait_for_event("start-wait")["stage"] == "settings"
+            host.child.send_signal(signal.SIGHUP)
+            host.path.write_text(make_text(make_fields()))
+            host.wait_for_event("start")
+            assert len(host.list_events("start-wait")) == 1
+            assert len(host.list_events("start-wait-over")) == 1
+
+    @pytest.mark.parametrize("number", STOPS)
+    def test_stop_while_a_host_waits_for_settings(
+        self, tmp_path: Path, number: signal.Signals
+    ) -> None:
+        with StartedHost(folder=tmp_path, text="") as host:
+            host.wait_for_event("start-wait")
+            host.child.send_signal(number)
+            assert host.wait_exit() == ExitCode.OK
+
+    def test_last_line_that_is_cut_is_not_used(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        path = tmp_path / "boot.conf"
+        whole = make_text(make_fields() | {"platform.address": "10.0.0.1:8642"})
+        path.write_text(whole.rstrip("\n")[:-1])
+        monkeypatch.setattr(starting.time, "sleep", lambda _: path.write_text(whole))
+        assert starting.read_settings(str(path)).store == "10.0.0.1:8642"
+
+    def test_change_before_signals_are_handled_is_not_missed(
+        self, tmp_path: Path
+    ) -> None:
+        fields = make_fields()
+        with StartedHost(folder=tmp_path, text=make_text(fields)) as host:
+            host.wait_for_event("settings")
+            host.path.write_text(make_text(fields | {"bounds.ttl_max_s": "4"}))
+            assert host.wait_for_event("reload")["changed"] == "address_ttl_s"
