End connections to peers that do not answer their end

A connection to a peer waits for the peer to answer its end, 10 s by default, and the event loop waits for that at its own end.

The wait is now 0.1 s, then the connection is cut. Nothing is lost by it: whoever closes has no message left to send.

--- a/src/siskinpier/edge/mesh.py
+++ b/src/siskinpier/edge/mesh.py
@@ -24,6 +24,9 @@
 
 QUEUE_LIMIT_MESSAGES: Final = 256
 HANDSHAKE_TIMEOUT_S: Final = 2.0
+# Time for a peer to answer the end of a connection. A peer that is frozen or cut off
+# does not, and a host that ends has little of its grace time left.
+CLOSE_TIMEOUT_S: Final = 0.1
 MIN_RECONNECT_DELAY_S: Final = 0.2
 MAX_RECONNECT_DELAY_S: Final = 5.0
 IDLE_TIMEOUT_S: Final = 30.0
@@ -133,6 +136,7 @@
             max_size=MESSAGE_LIMIT_BYTES,
             compression=None,
             open_timeout=HANDSHAKE_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
         ):
             await anyio.sleep_forever()
 
@@ -164,6 +168,7 @@
             compression=None,
             max_size=MESSAGE_LIMIT_BYTES,
             proxy=None,
+            close_timeout=CLOSE_TIMEOUT_S,
         )
         try:
             await self._authenticate_to_peer(conn, host)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -5,6 +5,8 @@
 """
 
 import socket
+import threading
+import time
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -19,6 +21,8 @@
 
 KEY: Final = "a-key-of-the-tests"
 REFUSAL_WAIT_S: Final = 0.5
+# The platform kills a host that has not ended after this time.
+GRACE_S: Final = 6.0
 
 
 class Peer:
@@ -167,3 +171,56 @@
                 tasks.cancel_scope.cancel()
 
         run(test)
+
+
+class FrozenPeer:
+    """A peer in a thread of its own that freezes once a message has arrived."""
+
+    def __init__(self, *, sends_to: Peer) -> None:
+        self.peer = Peer(name="two")
+        self.peer.mesh = Mesh(name="two", key=KEY, handle_message=self._freeze)
+        self.frozen = threading.Event()
+        self.thawed = threading.Event()
+        self._sends_to = sends_to
+        self._thread = threading.Thread(target=anyio.run, args=[self._run])
+
+    def __enter__(self) -> "FrozenPeer":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.thawed.set()
+        self._thread.join()
+
+    def _freeze(self, sender: str, message: Message) -> None:
+        self.frozen.set()
+        self.thawed.wait()
+
+    async def _run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self.peer.mesh.send("one", self._sends_to.address, make_message(1))
+            tasks.start_soon(self.peer.mesh.serve, self.peer.sock, tasks)
+            while not self.thawed.is_set():
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+
+class TestEnd:
+    """A host ends within its grace time whatever its peers do."""
+
+    def test_frozen_peer_does_not_delay_the_end_of_a_host(self) -> None:
+        async def main(one: Peer, two: FrozenPeer) -> float:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(one.mesh.serve, one.sock, tasks)
+                await one.wait_for(1)
+                one.mesh.send("two", two.peer.address, make_message(2))
+                while not two.frozen.is_set():
+                    await anyio.sleep(0.01)
+                began_at = time.monotonic()
+                tasks.cancel_scope.cancel()
+            return began_at
+
+        one = Peer(name="one")
+        with FrozenPeer(sends_to=one) as two:
+            began_at = anyio.run(main, one, two)
+            assert time.monotonic() - began_at < GRACE_S
