Continue a list behind a name that no request can hold

Callers: if a page of a list held one entry only, of the largest size and with a name that is not valid Unicode, the list counted as unanswered for as long as the entry stood there. A name of 10,000 characters was sent on as it was, as a query that servers refuse.

Now a list continues after the page's last name of up to 200 characters. A page without one is continued after a name that sorts behind it and before all later names that an entry in use can have, in a store that sorts by code point. Where that brings no new name, the list counts as unanswered, as before.

--- a/src/siskinpier/platform/store_objects.py
+++ b/src/siskinpier/platform/store_objects.py
@@ -23,6 +23,10 @@
 # Of a larger object, only the metadata is decoded, unless it is the configuration: no
 # entry of a backend server or host is this large.
 MAX_ENTRY_BYTES: Final = 16_384
+# No entry is used whose name is longer, or has characters behind the tilde.
+MAX_NAME_CHARS: Final = 200
+_NAME_START: Final = re.compile(r"[\x00-~]{0,200}")
+LAST_CHARACTER: Final = "\U0010ffff"
 # Exact in every JSON decoder.
 MAX_REVISION: Final = 2**53
 # Unreadable objects of one answer that are logged; the rest are counted.
@@ -129,7 +133,7 @@
         revision=answer.revision,
         items=items,
         has_more=bool(answer.has_more),
-        last_name=items[-1].name if items else None,
+        last_name=_get_last_name(answer.items, items),
     )
 
 
@@ -157,6 +161,21 @@
     return ChangeList(position=position, changes=tuple(changes))
 
 
+def _get_last_name(rows: list[Raw], items: Iterable[StoreObject]) -> str | None:
+    """Return a name that a request can hold, after which the next page begins.
+
+    If a page has none, it is one that sorts behind the page's last name, and before all
+    later names of entries that are used.
+    """
+    short = [item.name for item in items if len(item.name) <= MAX_NAME_CHARS]
+    if short:
+        return short[-1]
+    metadata = _decode_metadata(bytes(rows[-1])) if rows else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    found = _NAME_START.match(name) if isinstance(name, str) else None
+    return None if found is None else f"{found[0]}{LAST_CHARACTER}"
+
+
 def decode_object(kind: str, content: bytes) -> StoreObject | None:
     """Return a single object; None, logged, if its name or revision is invalid."""
     return _make_object(_decode_row(kind, content), _UnreadableLog())
--- a/tests/test_damaged_entries.py
+++ b/tests/test_damaged_entries.py
@@ -16,6 +16,7 @@
 from siskinpier.core.platform_results import Unavailable
 from siskinpier.core.positions import StorePosition
 from siskinpier.platform.documents import decode_server
+from siskinpier.platform.json_documents import decode_json
 from siskinpier.platform.store import ObjectList, StoreClient
 from siskinpier.platform.store_objects import ChangeList, StoreObject
 from tests.standins.platform_host import make_entry
@@ -261,6 +262,46 @@
         assert isinstance(asyncio.run(run()), Unavailable)
 
 
+ODD_NAMES: Final = {
+    "not UTF-8": b"b\xff",
+    "surrogate": b"b\\ud800",
+    "first": b"\xff",
+    "long": b"b" * 10_000,
+    "long and control character": b"\\u0000" + b"x" * 300,
+    "slashes": b"../b/%2e?after=a&b#c",
+    "control character": b"b\\u0000\\n",
+    "space": b" ",
+    "empty": b"",
+    "other case": b"A",
+    "not normalised": b"a\xcc\x81",
+    "beyond the plane": b"b\xf0\x9f\x98\x80",
+}
+
+
+class TestOddNames:
+    """A list goes on behind an entry whose name no request can hold."""
+
+    @pytest.mark.parametrize("page_rows", [1, 2])
+    @pytest.mark.parametrize("name", ODD_NAMES)
+    def test_alone_on_a_page(self, name: str, page_rows: int) -> None:
+        def respond(params: Query) -> bytes:
+            # As sorted by a store in which text is a list of code points.
+            left = [rows[key] for key in sorted(rows) if key > params.get("after", "")]
+            page = make_list(left[:page_rows], has_more=len(left) > page_rows)
+            return make_reply(page)
+
+        async def run() -> None:
+            async with run_raw_store(store) as client:
+                await check_list(client, name)
+
+        odd = b'{"metadata":{"name":"%b","revision":1},"spec":{}}' % ODD_NAMES[name]
+        key = decode_json(odd)["metadata"]["name"]
+        rows = {good: make_row(good) for good in GOOD} | {key: odd}
+        store = RawStore(respond)
+        asyncio.run(run())
+        assert all(len(query.get("after", "")) <= 201 for query in store.queries)
+
+
 class TestHosts:
     """Hosts follow the store while damaged entries stand in it."""
 
