Refuse limits for callers that no timer or counter can hold

Operators: a limit in the configuration such as an idle timeout of 1e999, which JSON decoders read as infinite, was put in force. Timers take it, but its whole part, which the listener needs, raises OverflowError: suspected only, as the store accepts valid configurations, and no host was seen to end.

Times are at most a week now, as all others in the configuration, and sizes at most 2**53 bytes; beyond that, the usual limit applies and a fault is logged.

Evidence: 8 of 28 cases of the new test failed before, and pass now. NaN, negative numbers and truth values were refused before.

--- a/src/siskinpier/platform/configuration.py
+++ b/src/siskinpier/platform/configuration.py
@@ -62,9 +62,9 @@
 Priority = Annotated[int, Meta(ge=0)]
 AttemptCount = Annotated[int, Meta(ge=1, le=100)]
 ConnectionCount = Annotated[int, Meta(ge=1)]
-HeaderBytes = Annotated[int, Meta(ge=256)]
-BodyBytes = Annotated[int, Meta(ge=0)]
-LimitSeconds = Annotated[float, Meta(gt=0.0)]
+HeaderBytes = Annotated[int, Meta(ge=256, le=2**53)]
+BodyBytes = Annotated[int, Meta(ge=0, le=2**53)]
+LimitSeconds = Annotated[float, Meta(gt=0.0, le=604_800.0)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -4,6 +4,7 @@
 the host would reject the document, or route requests of such a rule by another one.
 """
 
+from math import inf, nan
 from typing import Any
 
 import pytest
@@ -17,6 +18,7 @@
     SUSPENDED,
     UNKNOWN_HOSTS_SUSPENDED,
     VIRTUAL_HOST_SUSPENDED,
+    CallerLimits,
     Configuration,
     decode_configuration,
     make_limit_settings,
@@ -219,6 +221,19 @@
         assert decoded.limits == decode(make_config()).limits
         assert len(decoded.faults) == 1
 
+    @pytest.mark.parametrize("value", [inf, nan, 1e308, -inf, 10**30, -(10**30), True])
+    @pytest.mark.parametrize(
+        "name", ["headerBytes", "bodyBytes", "headerTimeoutS", "idleTimeoutS"]
+    )
+    def test_limit_that_no_timer_or_counter_can_hold(
+        self, name: str, value: Any
+    ) -> None:
+        document = {**CONFIG, "limits": {name: value}}
+        decoded = decode_configuration(document, make_settings())
+        assert isinstance(decoded, Configuration)
+        assert decoded.limits == CallerLimits()
+        assert f"limits.{name}" in [fault.path for fault in decoded.faults]
+
     @pytest.mark.parametrize("name", [None, 7, ""])
     def test_service_without_a_name(self, name: Any) -> None:
         decoded = decode(change(make_config(), "clusters.0.name", name))
