Wait for ports that another process still holds

A host ended with exit code 2 at once where one of its ports was taken or its own address was not there yet, also where the port was free again 0.2 s later. A host that is started again while the one before it is still stopping meets just that, and ended until all of that one's grace time was over.

A host now tries again each 50 ms, for its grace time and 4 s more (60 s at most). It binds all addresses before it listens on any, and gives all back between two attempts: connections to a host that cannot answer yet would wait in its queue, and two hosts that each keep what the other lacks would wait for each other. A failed attempt left its sockets open before; the product's own host binds in the same way now.

--- a/src/siskinpier/edge/sockets.py
+++ b/src/siskinpier/edge/sockets.py
@@ -2,6 +2,8 @@
 
 import ipaddress
 import socket
+from collections.abc import Iterable
+from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import Final
 
@@ -21,11 +23,10 @@
 
 def bind_sockets(settings: HostSettings) -> HostSockets:
     """Bind all sockets; port 0 lets the system choose one. Raises `OSError`."""
-    return HostSockets(
-        callers=make_listener(settings.callers),
-        operators=make_listener(settings.operators),
-        peers=make_listener(settings.peers),
+    callers, operators, peers = make_listeners(
+        (settings.callers, settings.operators, settings.peers)
     )
+    return HostSockets(callers=callers, operators=operators, peers=peers)
 
 
 def get_address(sock: socket.socket) -> str:
@@ -46,13 +47,37 @@
 
 def make_listener(address: Address) -> socket.socket:
     """Return a bound, listening socket; raises `OSError`."""
+    (listener,) = make_listeners((address,))
+    return listener
+
+
+def make_listeners(addresses: Iterable[Address]) -> list[socket.socket]:
+    """Return a listening socket for each address, or raise `OSError` and keep none.
+
+    No connection is accepted until all addresses are bound.
+    """
+    with ExitStack() as opened:
+        listeners = [_bind(address, opened) for address in addresses]
+        for listener in listeners:
+            listener.listen(BACKLOG_CONNECTIONS)
+        opened.pop_all()
+    return listeners
+
+
+def _bind(address: Address, opened: ExitStack) -> socket.socket:
     is_v6 = ipaddress.ip_address(address.ip).version == 6
-    sock = socket.socket(socket.AF_INET6 if is_v6 else socket.AF_INET)
+    sock = opened.enter_context(
+        socket.socket(socket.AF_INET6 if is_v6 else socket.AF_INET)
+    )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted sockets inherit it; asyncio sets it only on sockets whose protocol
     # number is IPPROTO_TCP.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.bind((address.ip, address.port))
-    sock.listen(BACKLOG_CONNECTIONS)
+    try:
+        sock.bind((address.ip, address.port))
+    except OSError as exc:
+        raise OSError(
+            exc.errno, f"{exc.strerror} ({address.ip} {address.port})"
+        ) from exc
     sock.setblocking(False)
     return sock
--- a/src/siskinpier/platform/starting.py
+++ b/src/siskinpier/platform/starting.py
@@ -2,12 +2,12 @@
 
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import StrEnum
 from functools import partial
 from typing import Final, TypeVar
 
-from ..edge.sockets import make_listener
+from ..edge.sockets import make_listeners
 from ..logs import log_event, log_warning
 from ..settings.host import Address
 from ..signals import SIGNALS
@@ -22,6 +22,10 @@
 
 # How long a host waits for settings that it can use.
 SETTINGS_WAIT_S: Final = 10.0
+# How much longer than the time that a process has to stop a host waits for its ports,
+# and the longest wait.
+LISTEN_MARGIN_S: Final = 4.0
+MAX_LISTEN_WAIT_S: Final = 60.0
 # Interval between two attempts of a stage.
 RETRY_INTERVAL_S: Final = 0.05
 
@@ -120,20 +124,29 @@
 def listen(settings: AdapterSettings) -> list[socket.socket]:
     """Return sockets for callers, readiness, addresses and peers, in this order.
 
-    Raises `StartError` if one cannot be had.
+    A process that is stopping may still have a port, and the host's own address may not
+    be there yet. Raises `StartError` if that lasts longer than a stop may.
     """
-    check_not_stopped(Stage.LISTEN)
-    sockets: list[socket.socket] = []
-    for address in (
-        settings.callers,
-        settings.readiness,
-        settings.addresses,
-        settings.peers,
-    ):
-        try:
-            sockets.append(make_listener(Address(ip=address.ip, port=address.port)))
-        except OSError as exc:
-            reason = f"{address}: {exc}"
-            raise StartError(stage=Stage.LISTEN, reason=reason) from exc
+    addresses = [
+        Address(ip=address.ip, port=address.port)
+        for address in (
+            settings.callers,
+            settings.readiness,
+            settings.addresses,
+            settings.peers,
+        )
+    ]
+    sockets = _retry(
+        partial(_listen_once, addresses),
+        stage=Stage.LISTEN,
+        within_s=min(MAX_LISTEN_WAIT_S, settings.grace_s + LISTEN_MARGIN_S),
+    )
     log_event("listening", callers=str(settings.callers))
     return sockets
+
+
+def _listen_once(addresses: Sequence[Address]) -> list[socket.socket]:
+    try:
+        return make_listeners(addresses)
+    except OSError as exc:
+        raise StartError(stage=Stage.LISTEN, reason=str(exc)) from exc
