--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -5,7 +5,6 @@
 import socket
 import sys
 import time
-import traceback
 from functools import partial
 from typing import Final
 
@@ -18,6 +17,8 @@
 from ..edge.backends import BackendClient
 from ..edge.serving import (
     handle_signals,
+    install_failure_log,
+    log_end,
     make_caller_server,
     make_clock,
     tune_garbage_collector,
@@ -25,6 +26,7 @@
 from ..edge.shell import Shell
 from ..edge.sockets import make_listener
 from ..exit_codes import ExitCode
+from ..failures import describe_error, describe_trace
 from ..log_writer import NonBlockingHandler
 from ..logs import configure_logging, log_event, log_warning
 from ..metrics import HostMetrics
@@ -62,8 +64,6 @@
 # Idle connections to backend servers are closed after this, seconds: sooner than the
 # servers close them.
 MAX_BACKEND_IDLE_S: Final = 4.0
-# Characters of the trace in the log line of a crash, the last ones.
-MAX_TRACE_CHARS: Final = 8_000
 
 
 def main() -> None:
@@ -86,8 +86,7 @@
     try:
         code = _start_and_run(path, writer)
     except Exception as exc:
-        trace = "".join(traceback.format_exception(exc))
-        log_warning("crash", error=repr(exc), trace=trace[-MAX_TRACE_CHARS:])
+        log_warning("crash", error=describe_error(exc), trace=describe_trace(exc))
         raise
     finally:
         log_event("exit", code=int(code))
@@ -106,12 +105,11 @@
         log_event("start-cancelled", stage=exc.stage)
         return ExitCode.OK
     metrics = _listen_for_metrics(settings.ip)
-    anyio.run(
+    return anyio.run(
         partial(_run, path, settings, sockets, metrics, writer),
         backend="asyncio",
         backend_options={"use_uvloop": False},
     )
-    return ExitCode.OK
 
 
 async def _run(
@@ -120,7 +118,7 @@
     sockets: list[socket.socket],
     metrics: list[socket.socket],
     writer: NonBlockingHandler,
-) -> None:
+) -> ExitCode:
     backends = BackendClient(
         id_field=REQUEST_ID_HEADER, echoes_id=True, keep_alive_s=MAX_BACKEND_IDLE_S
     )
@@ -137,6 +135,7 @@
         metrics=HostMetrics(),
         dropped_lines=writer.dropped_lines,
     )
+    install_failure_log(shell.failures, writer)
     settings_watcher = SettingsWatcher(path=path, settings=settings)
     store_watcher = StoreWatcher(shell=shell, store=store, settings=settings)
     registration = HostRegistration(shell=shell, store=store, settings=settings)
@@ -152,10 +151,14 @@
                 tasks,
             )
             tasks.cancel_scope.cancel()
+    except Exception as exc:
+        shell.failures.record("host", exc)
+        shell.failed_part = "host"
     finally:
         with anyio.CancelScope(shield=True):
             await backends.aclose()
             await store.aclose()
+    return log_end(shell)
 
 
 async def _serve(
@@ -187,7 +190,6 @@
         await shell.stopped.wait()
         caller_server.should_exit = True
         servers.cancel_scope.deadline = anyio.current_time() + FLUSH_WAIT_S
-    log_event("end", host=shell.settings.name)
 
 
 def _listen_for_metrics(ip: str) -> list[socket.socket]:
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -1,7 +1,8 @@
 """Stand-in for the users' metadata store: objects by kind, revisions, long polls.
 
 It runs in a thread of the test. `mode` injects a fault: "silent" never answers, "busy"
-answers 503, "lost" carries out writes and never answers them.
+answers 503, "lost" carries out writes and never answers them, "ending" answers watches
+at once.
 """
 
 import asyncio
@@ -34,8 +35,13 @@
         self.unlisted_kinds: set[str] = set()
         # Delay of each response.
         self.delay_s = 0.0
+        # Status and body of every answer to a watch or list, in place of the right one.
+        self.watch_reply: tuple[int, bytes] | None = None
+        self.list_reply: tuple[int, bytes] | None = None
         # Bytes that replace others in every response, to send what is no JSON text.
         self.replacements: dict[bytes, bytes] = {}
+        # Kinds of which the next changes are never answered to the watches that wait.
+        self.lost_watches: set[str] = set()
         self.refuses: Callable[[str], bool] = lambda peer: False
         self.calls: list[tuple[str, str, dict[str, str]]] = []
 
@@ -100,7 +106,10 @@
     async def _handle_read(
         self, kind: str, name: str, params: dict[str, str], send: Send
     ) -> None:
-        if name:
+        reply = self.watch_reply if "watch" in params else self.list_reply
+        if reply is not None and not name:
+            await self._send(send, *reply)
+        elif name:
             item = self.objects.get((kind, name))
             await self._reply(send, 404 if item is None else 200, item)
         elif "watch" in params:
@@ -125,11 +134,12 @@
                 await self._reply(send, 410, {"error": "history is gone"})
                 return
             rows = [e for e in self.events if e[0] > since and e[1] == kind]
-            if rows or waited_s >= int(params["waitMs"]) / 1000:
+            is_over = waited_s >= int(params["waitMs"]) / 1000
+            if rows or is_over or self.mode == "ending":
                 break
             await asyncio.sleep(POLL_INTERVAL_S)
             waited_s += POLL_INTERVAL_S
-        if self.mode == "silent":
+        if self.mode == "silent" or (rows and waited_s and kind in self.lost_watches):
             await asyncio.sleep(HANG_S)
         events = [{"object": e[2], "deleted": e[3]} for e in rows]
         await self._reply(send, 200, {"events": events, "storeRevision": self.revision})
@@ -161,6 +171,9 @@
         content = json.dumps(document).encode()
         for old, new in self.replacements.items():
             content = content.replace(old, new)
+        await self._send(send, status, content)
+
+    async def _send(self, send: Send, status: int, content: bytes) -> None:
         headers = [(b"content-length", str(len(content)).encode())]
         era = self.raw_era
         if era is None and self.era is not None:
