Ignore signals at the end of a host whose start was cancelled

A host that had been told to stop while it was starting ended with -15 or -1 in place of 0 if one more SIGTERM or SIGHUP came in the last moment after its line event=exit.

Signals were ignored only from the end of the event loop on. A start that is cancelled, cannot start or crashes never has a loop, and there the interpreter restores the default action as it ends. They are now ignored from the interpreter's exit on, whichever way it comes.

The test fails before (1 of 1): the handlers are still set at exit.

--- a/src/siskinpier/signals.py
+++ b/src/siskinpier/signals.py
@@ -3,6 +3,7 @@
 A host imports this module before anything else, so it imports little itself.
 """
 
+import atexit
 import signal
 from collections import deque
 from collections.abc import Callable
@@ -32,11 +33,16 @@
         self._pending: deque[int] = deque(maxlen=MAX_PENDING_SIGNALS)
 
     def open(self) -> None:
-        """Keep signals from now on; no signal that a host handles ends the process."""
+        """Keep signals from now on; no signal that a host handles ends the process.
+
+        At the end of the interpreter, however it comes, signals are ignored.
+        """
         for number in IGNORED_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
         for number in HANDLED_SIGNALS:
             signal.signal(number, self._receive)
+        # The interpreter restores the default action of signals that it handles.
+        atexit.register(self.close)
 
     def close(self) -> None:
         """Ignore all signals until the process has ended."""
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -5,8 +5,11 @@
 """
 
 import json
+import os
 import signal
 import socket
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -14,7 +17,7 @@
 
 from siskinpier.exit_codes import ExitCode
 from siskinpier.platform.settings import SettingsError, decode_settings
-from tests.standins.process import LOOPBACK
+from tests.standins.process import HANG_TIMEOUT_S, LOOPBACK
 from tests.standins.started_host import (
     NO_STORE,
     Gate,
@@ -141,6 +144,23 @@
             assert host.list_events("exit")[0]["code"] == "1"
 
 
+# Prints the action of each signal that a host handles after all else has ended. The
+# interpreter sets the default action later for those that are handled by a function.
+CANCELLED_START_CODE = """
+import atexit, os, signal
+def show():
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    actions = [signal.getsignal(number) for number in numbers]
+    print(*(getattr(action, "name", action) for action in actions), flush=True)
+atexit.register(show)
+from siskinpier.signals import SIGNALS
+SIGNALS.open()
+os.kill(os.getpid(), signal.SIGTERM)
+from siskinpier.platform.process import main
+main()
+"""
+
+
 class TestSignals:
     """Only SIGTERM and SIGINT end a host, with exit code 0, at whatever time."""
 
@@ -173,6 +193,19 @@
             assert host.list_events("start") == []
             assert host.list_events("start-cancelled")[0]["stage"] == "settings"
 
+    def test_signal_after_a_cancelled_start_keeps_the_exit_code(
+        self, tmp_path: Path
+    ) -> None:
+        done = subprocess.run(
+            [sys.executable, "-c", CANCELLED_START_CODE],
+            env={**os.environ, "SISKINPIER_BOOT": str(tmp_path)},
+            capture_output=True,
+            timeout=HANG_TIMEOUT_S,
+            text=True,
+        )
+        assert done.returncode == ExitCode.OK
+        assert done.stdout.splitlines()[-1] == "SIG_IGN SIG_IGN SIG_IGN"
+
     def test_hup_while_modules_load_is_a_reload(self, tmp_path: Path) -> None:
         gate = Gate(folder=tmp_path / "gate", module="anyio")
         text = make_text(make_fields())
