Run a host whatever becomes of its standard descriptors

With standard output closed a host ended with AttributeError at each start, as Python has no sys.stdout then; so did the product's own host. With descriptor 0, 1 or 2 closed a pipe or socket of the host got its number, and lines meant for standard error could go to a connection. A host that cannot start and whose output was full or unread ended with another exit code (120 or 1), which says nothing of the cause.

Logging could end a task too: a value that fails as it is formatted raised its error where the line was logged, as did an event loop that cannot wait for the kind of file. Lines that waited for a slow reader were lost when the loop ended, the last ones of all: the reason of the end.

Closed descriptors are now opened to the null device first of all, and the log goes to standard error if only that was open. The line of a refused start is written without a buffer, so that nothing is left to fail at the exit. A line that cannot be formatted is replaced by line-unformatted; a loop that cannot wait counts as none; and a process gives the reader 0.1 s for the last lines.

--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -21,6 +21,7 @@
 from ..metrics import HostMetrics
 from ..settings.documents import Rejected, parse_intents
 from ..settings.host import HostSettings
+from ..standard_streams import open_standard_descriptors
 from .backends import BackendClient
 from .callers import CallerApp
 from .header_adapter import DefaultHeaderAdapter
@@ -45,13 +46,14 @@
 
 def run_host(settings: HostSettings) -> int:
     """Run one host until it stops; return the exit code of the process."""
+    log_fd = open_standard_descriptors()
     try:
         certificate = make_certificate(settings.security)
         sockets = bind_sockets(settings)
     except OSError as exc:
         print(f"siskinpier: cannot start: {exc}", file=sys.stderr)
         return ExitCode.BAD_INPUT
-    writer = NonBlockingHandler(fd=sys.stdout.fileno())
+    writer = NonBlockingHandler(fd=log_fd)
     configure_logging(writer, settings.log_level)
     run = partial(_run, settings, sockets, certificate, writer)
     # uvloop is faster, but libuv sets up an io_uring that cannot be turned off.
--- a/src/siskinpier/log_writer.py
+++ b/src/siskinpier/log_writer.py
@@ -8,6 +8,8 @@
 import asyncio
 import logging
 import os
+import select
+import time
 from collections import Counter, deque
 from typing import Final
 
@@ -21,6 +23,7 @@
 # Lines are joined until a write has at least this size.
 WRITE_BYTES: Final = 65_536
 DROPPED_LINES_EVENT: Final = "lines-left-out"
+UNFORMATTED_LINE_EVENT: Final = "line-unformatted"
 
 
 class NonBlockingHandler(logging.Handler):
@@ -47,7 +50,7 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Buffer and write a line, or drop and count it if the buffer is full."""
         event = _get_event_name(record)
-        line = self.format(record).encode("utf-8", "replace") + b"\n"
+        line = self._format_line(record, event)
         share = ROUTINE_BUFFER_SHARE if event in ROUTINE_EVENTS else 1.0
         if self._buffered_bytes + len(line) > self._limit_bytes * share:
             self.dropped_lines[event] += 1
@@ -75,6 +78,20 @@
             self._unwritten = self._unwritten[written:]
         self._report_dropped_lines()
 
+    def drain(self, *, within_s: float) -> None:
+        """Write what is left, for a limited time, once the event loop has ended."""
+        self._is_waiting_for_writable = False
+        deadline = time.monotonic() + within_s
+        writable = select.poll()
+        writable.register(self._fd, select.POLLOUT)
+        self.flush()
+        while self._unwritten or self._lines:
+            left_s = deadline - time.monotonic()
+            if left_s <= 0.0:
+                return
+            writable.poll(left_s * 1_000)
+            self.flush()
+
     def close(self) -> None:
         """Restore the blocking mode of the descriptor.
 
@@ -83,6 +100,16 @@
         os.set_blocking(self._fd, self._was_blocking)
         super().close()
 
+    def _format_line(self, record: logging.LogRecord, event: str) -> bytes:
+        """Return the line of a record, or one that tells why it has none."""
+        try:
+            text = self.format(record)
+        except Exception as exc:  # A value may fail in any way as it is formatted.
+            error = type(exc).__name__
+            text = f"level=WARNING event={UNFORMATTED_LINE_EVENT} of={event}"
+            text = f"{text} error={error}"
+        return text.encode("utf-8", "replace") + b"\n"
+
     def _pop_lines(self) -> bytes:
         lines: list[bytes] = []
         size = 0
@@ -99,9 +126,13 @@
             loop = asyncio.get_running_loop()
         except RuntimeError:
             return  # Without an event loop, the next line tries again.
-        if not self._is_waiting_for_writable:
-            self._is_waiting_for_writable = True
+        if self._is_waiting_for_writable:
+            return
+        try:
             loop.add_writer(self._fd, self._handle_writable, loop)
+        except (OSError, RuntimeError, ValueError):
+            return  # A loop cannot wait for every kind of file: as without a loop.
+        self._is_waiting_for_writable = True
 
     def _handle_writable(self, loop: asyncio.AbstractEventLoop) -> None:
         loop.remove_writer(self._fd)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -38,6 +38,7 @@
     SecuritySettings,
     ShutdownSettings,
 )
+from ..standard_streams import open_standard_descriptors, write_error_line
 from .callers import PlatformCallerApp, StatusApp
 from .headers import REQUEST_ID_HEADER, PlatformHeaderAdapter
 from .registration import HostRegistration
@@ -61,6 +62,8 @@
 READY_WAIT_S: Final = 0.4
 # Time to flush the last replies, seconds.
 FLUSH_WAIT_S: Final = 0.5
+# Longest time that the end of a process waits for the reader of its log, seconds.
+LAST_LINES_WAIT_S: Final = 0.1
 # Idle connections to backend servers are closed after this, seconds: sooner than the
 # servers close them.
 MAX_BACKEND_IDLE_S: Final = 4.0
@@ -73,7 +76,7 @@
 
 def run(path: str) -> int:
     """Run a host until it is stopped, and return the exit code."""
-    writer = NonBlockingHandler(fd=sys.stdout.fileno())
+    writer = NonBlockingHandler(fd=open_standard_descriptors())
     configure_logging(writer)
     log_event(
         "boot",
@@ -90,6 +93,7 @@
         raise
     finally:
         log_event("exit", code=int(code))
+        writer.drain(within_s=LAST_LINES_WAIT_S)
     return code
 
 
@@ -99,7 +103,7 @@
         sockets = listen(settings)
     except StartError as exc:
         log_warning("cannot-start", stage=exc.stage, reason=exc.reason)
-        print(f"siskinpier: cannot start: {path}: {exc.reason}", file=sys.stderr)
+        write_error_line(f"siskinpier: cannot start: {path}: {exc.reason}")
         return ExitCode.BAD_INPUT
     except CancelledStartError as exc:
         log_event("start-cancelled", stage=exc.stage)
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -1,9 +1,12 @@
 """Tests of the log handler when its reader is slow, stopped or gone."""
 
 import asyncio
+import errno
 import logging
 import os
 
+import pytest
+
 from siskinpier.log_writer import NonBlockingHandler
 
 SMALL_BYTES = 4_000
@@ -100,3 +103,56 @@
         handler = make_handler(fd)
         handler.emit(make_record("start"))
         assert handler._buffered_bytes == 0
+
+    def test_value_that_cannot_be_formatted(self) -> None:
+        class Broken:
+            def __repr__(self) -> str:
+                raise RuntimeError
+
+        reader, fd = os.pipe()
+        record = make_record("start")
+        record.msg = {"event": "start", "value": Broken()}
+        make_handler(fd).emit(record)
+        line = os.read(reader, 1000).decode()
+        assert "event=line-unformatted of=start error=RuntimeError" in line
+
+    def test_loop_that_cannot_wait_for_the_descriptor(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def log() -> bytes:
+            reader, fd = os.pipe()
+            filled = fill_pipe(fd)
+            handler = make_handler(fd)
+            loop = asyncio.get_running_loop()
+            monkeypatch.setattr(loop, "add_writer", refuse)
+            handler.emit(make_record("first"))
+            assert len(os.read(reader, filled)) == filled
+            handler.emit(make_record("second"))
+            return os.read(reader, 1000)
+
+        def refuse(*_: object) -> None:
+            raise PermissionError(errno.EPERM, "not a kind of file to wait for")
+
+        lines = asyncio.run(log())
+        assert b"first" in lines and b"second" in lines
+
+    def test_lines_left_when_the_loop_ends_are_written(self) -> None:
+        async def log() -> None:
+            handler.emit(make_record("first"))
+
+        reader, fd = os.pipe()
+        filled = fill_pipe(fd)
+        handler = make_handler(fd)
+        asyncio.run(log())
+        assert len(os.read(reader, filled)) == filled
+        handler.emit(make_record("last"))
+        handler.drain(within_s=0.0)
+        lines = os.read(reader, 1000)
+        assert b"first" in lines and b"last" in lines
+
+    def test_drain_of_a_full_pipe_ends(self) -> None:
+        _, fd = os.pipe()
+        fill_pipe(fd)
+        handler = make_handler(fd)
+        handler.emit(make_record("last"))
+        handler.drain(within_s=0.01)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -5,8 +5,10 @@
 """
 
 import json
+import os
 import signal
 import socket
+from contextlib import ExitStack, suppress
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +19,7 @@
 from siskinpier.platform import starting
 from siskinpier.platform.settings import SettingsError, decode_settings
 from siskinpier.settings.host import Address
-from tests.standins.platform_host import is_listening
+from tests.standins.platform_host import is_listening, wait_until
 from tests.standins.process import LOOPBACK, find_free_ports
 from tests.standins.started_host import (
     NO_STORE,
@@ -105,6 +107,14 @@
     }
 
 
+def fill_pipe(fd: int) -> None:
+    """Fill a pipe, so that it takes no byte more."""
+    os.set_blocking(fd, False)
+    with suppress(BlockingIOError):
+        while True:
+            os.write(fd, bytes(4_096))
+
+
 class TestLogOfTheStart:
     """Each stage of a start and each way to end has a log line of its own."""
 
@@ -406,3 +416,90 @@
         with StartedHost(folder=tmp_path, text=make_text(fields)) as host:
             host.wait_for_event("start")
             assert len(host.list_events("metrics-port-taken")) == 1
+
+
+CLOSED = [{0}, {1}, {2}, {1, 2}, {0, 1, 2}]
+
+
+class TestStandardStreams:
+    """A host runs with descriptors that are closed, full or broken."""
+
+    @pytest.mark.parametrize("closed", CLOSED)
+    def test_closed_descriptors(self, tmp_path: Path, closed: set[int]) -> None:
+        fields = make_fields()
+
+        def prepare() -> None:
+            for fd in closed:
+                os.close(fd)
+
+        with StartedHost(
+            folder=tmp_path, text=make_text(fields), prepare=prepare
+        ) as host:
+            address = fields["listenAddresses.ready"]
+            wait_until(
+                lambda: (
+                    get_status(address, "/metrics") == 200
+                    or host.child.poll() is not None
+                )
+            )
+            for fd in closed:
+                target = Path(f"/proc/{host.child.pid}/fd/{fd}").readlink()
+                assert target == Path(os.devnull)
+            if not {1, 2} <= closed:
+                host.wait_for_event("start")
+            host.child.send_signal(signal.SIGTERM)
+            assert host.wait_exit() == ExitCode.OK
+
+    @pytest.mark.parametrize("kind", ["full disk", "no reader", "full pipe"])
+    def test_output_that_takes_no_line(self, tmp_path: Path, kind: str) -> None:
+        fields = make_fields()
+        with ExitStack() as opened:
+            output = open_output(kind, opened)
+            host = opened.enter_context(
+                StartedHost(
+                    folder=tmp_path,
+                    text=make_text(fields),
+                    stdout=output,
+                    stderr=output,
+                )
+            )
+            address = fields["listenAddresses.ready"]
+            wait_until(
+                lambda: (
+                    get_status(address, "/metrics") == 200
+                    or host.child.poll() is not None
+                )
+            )
+            host.child.send_signal(signal.SIGTERM)
+            assert host.wait_exit() == ExitCode.OK
+
+    @pytest.mark.parametrize("kind", ["full disk", "no reader", "full pipe"])
+    def test_refused_start_keeps_its_exit_code(self, tmp_path: Path, kind: str) -> None:
+        with ExitStack() as opened:
+            output = open_output(kind, opened)
+            environ = {"SISKINPIER_BOOT": ""}
+            host = opened.enter_context(
+                StartedHost(
+                    folder=tmp_path,
+                    text=None,
+                    environ=environ,
+                    stdout=output,
+                    stderr=output,
+                )
+            )
+            assert host.wait_exit() == ExitCode.BAD_INPUT
+
+
+def open_output(kind: str, opened: ExitStack) -> int:
+    """Return a descriptor for output, which is closed with `opened`."""
+    if kind == "full disk":
+        fd = os.open("/dev/full", os.O_WRONLY)
+    else:
+        reader, fd = os.pipe()
+        if kind == "no reader":
+            os.close(reader)
+        else:
+            opened.callback(os.close, reader)
+            fill_pipe(fd)
+    opened.callback(os.close, fd)
+    return fd
