--- a/soak/processes.py
+++ b/soak/processes.py
@@ -250,7 +250,7 @@
         return is_stopped
 
 
-class ServerProcess:
+class ServerProcess(StandIn):
     """One process of a backend server."""
 
     def __init__(
@@ -260,18 +260,4 @@
         self.service = service
         args = ["--name", name, "--service", service, "--journal", str(journal)]
         args += ["--slots", str(slots), "--work-ms", str(work_ms)]
-        self._child = StandIn(module="soak.backend", args=args)
-        self.port = self._child.port
-
-    def kill(self) -> None:
-        """Kill the server, to simulate a crash."""
-        if self._child.exit_code is None:
-            self._child.kill()
-
-    def pause(self) -> None:
-        """Suspend the server."""
-        self._child.freeze()
-
-    def resume(self) -> None:
-        """Resume a suspended server."""
-        self._child.resume()
+        super().__init__(module="soak.backend", args=args)
--- a/soak/run.py
+++ b/soak/run.py
@@ -224,7 +224,7 @@
 
     async def _pause_server(self, fault: ScheduledFault) -> None:
         server = self._deployment.servers[fault.target]
-        server.pause()
+        server.freeze()
         await anyio.sleep(fault.for_s)
         server.resume()
 
