--- a/src/siskinpier/platform/store_objects.py
+++ b/src/siskinpier/platform/store_objects.py
@@ -23,6 +23,10 @@
 # Of a larger object, only the metadata is decoded, unless it is the configuration: no
 # entry of a backend server or host is this large.
 MAX_ENTRY_BYTES: Final = 16_384
+# No entry is used whose name is longer, or has characters behind the tilde.
+MAX_NAME_CHARS: Final = 200
+_NAME_START: Final = re.compile(r"[\x00-~]{0,200}")
+LAST_CHARACTER: Final = "\U0010ffff"
 # Exact in every JSON decoder.
 MAX_REVISION: Final = 2**53
 # Unreadable objects of one answer that are logged; the rest are counted.
@@ -51,11 +55,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectPage:
-    """Some objects of a kind; with `has_more`, further pages follow."""
+    """Some objects of a kind; with `has_more`, further pages follow.
+
+    `last_name` is the name after which the next page begins, if one is readable.
+    """
 
     revision: int
     items: tuple[StoreObject, ...]
     has_more: bool
+    last_name: str | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,10 +128,12 @@
     documents = _decode_rows(kind, answer.items, slices)
     found = [_make_object(document, log) async for document in documents]
     log.end()
+    items = tuple(item for item in found if item is not None)
     return ObjectPage(
         revision=answer.revision,
-        items=tuple(item for item in found if item is not None),
+        items=items,
         has_more=bool(answer.has_more),
+        last_name=_get_last_name(answer.items, items),
     )
 
 
@@ -151,6 +161,21 @@
     return ChangeList(position=position, changes=tuple(changes))
 
 
+def _get_last_name(rows: list[Raw], items: Iterable[StoreObject]) -> str | None:
+    """Return a name that a request can hold, after which the next page begins.
+
+    If a page has none, it is one that sorts behind the page's last name, and before all
+    later names of entries that are used.
+    """
+    short = [item.name for item in items if len(item.name) <= MAX_NAME_CHARS]
+    if short:
+        return short[-1]
+    metadata = _decode_metadata(bytes(rows[-1])) if rows else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    found = _NAME_START.match(name) if isinstance(name, str) else None
+    return None if found is None else f"{found[0]}{LAST_CHARACTER}"
+
+
 def decode_object(kind: str, content: bytes) -> StoreObject | None:
     """Return a single object; None, logged, if its name or revision is invalid."""
     return _make_object(_decode_row(kind, content), _UnreadableLog())
