Release heads of finished calls and bound those of running ones

A host whose callers keep connections open and send large heads, within the operator's limit, grew beyond 200 and 300 MB. A head of 15 KB in 640 or 700 fields takes about 120 KB as an object for each field, and the server library keeps the last request of each connection until the next one, also while the connection is idle. When many heads arrive together, all are parsed before the first of them is answered.

A connection now releases head and unread body when its response is complete. Heads count towards the memory that bodies have together; where there is no room, a head is dropped as soon as it is parsed and the request is refused (503, not run, Retry-After), with its id in the log. The setting is now named for requests, as it bounds both.

Ruled out: 4,100 idle connections (81 MB) and 4,100 unfinished heads of 15 KB (108 MB), as a host refuses connections beyond 2,000.

--- a/src/siskinpier/edge/bodies.py
+++ b/src/siskinpier/edge/bodies.py
@@ -8,8 +8,8 @@
 
 from ..core.verdict import Problem, Verdict
 from ..settings.host import LimitSettings
-from .body_memory import BodyShare
 from .headers import IDEMPOTENCY_KEY_HEADER, Headers, get_header
+from .request_memory import RequestShare
 from .responses import Receive
 
 # Bytes of a streamed body that are held besides its buffered part: what was read last,
@@ -69,7 +69,10 @@
 
 
 async def read_body(
-    headers: Headers, receive: Receive, limits: LimitSettings, share: BodyShare
+    headers: Headers,
+    receive: Receive,
+    limits: LimitSettings,
+    share: RequestShare,
 ) -> Body | Problem:
     """Return the body, or a problem if it is too large, too slow or finds no room.
 
@@ -86,7 +89,7 @@
     if length is not None:
         held_bytes = limits.buffered_body_bytes + STREAM_BYTES
         if not share.grow_to(min(int(length), held_bytes)):
-            return _make_no_room_problem()
+            return make_no_room_problem()
     with anyio.move_on_after(limits.body_timeout_s):
         body = await _receive_body(receive, limits, share)
         if isinstance(body, StreamedBody) and has_key:
@@ -96,7 +99,7 @@
 
 
 async def _receive_body(
-    receive: Receive, limits: LimitSettings, share: BodyShare
+    receive: Receive, limits: LimitSettings, share: RequestShare
 ) -> Body | Problem:
     parts: list[bytes] = []
     size = 0
@@ -108,12 +111,12 @@
         parts.append(part)
         size += len(part)
         if not share.grow_to(size):
-            return _make_no_room_problem()
+            return make_no_room_problem()
         if not message.get("more_body", False):
             return b"".join(parts)
         if size > limits.buffered_body_bytes:
             if not share.grow_to(size + STREAM_BYTES):
-                return _make_no_room_problem()
+                return make_no_room_problem()
             return StreamedBody(first=b"".join(parts), receive=receive, limits=limits)
 
 
@@ -135,11 +138,12 @@
     )
 
 
-def _make_no_room_problem() -> Problem:
+def make_no_room_problem() -> Problem:
+    """Return the refusal of a request for which there is no memory."""
     return Problem(
         status=503,
-        title="No room for the body",
-        detail="the host holds too many request bodies",
+        title="No room for the request",
+        detail="the host holds too many requests",
         verdict=Verdict.NOT_RUN,
         retry_after_s=NO_ROOM_RETRY_AFTER_S,
     )
--- a/src/siskinpier/edge/caller_connections.py
+++ b/src/siskinpier/edge/caller_connections.py
@@ -16,10 +16,14 @@
 from ..logs import log_event
 from ..metrics import HostMetrics
 from ..settings.host import LimitSettings
+from .headers import CALL_ID_HEADER
+from .request_memory import RequestMemory, estimate_head_bytes
 from .responses import make_problem_response
 
 # All connections may hold the bytes of one read before a call takes them.
 MAX_READ_BYTES: Final = 16_384
+# Header fields that are kept of a request for which there is no room.
+KEPT_FIELDS: Final = frozenset({b"expect", b"x-request-id", CALL_ID_HEADER})
 CONNECTION_LIMIT_RETRY_AFTER_S: Final = 1.0
 # Value of SO_LINGER (on, 0 s) with which closing the socket sends a reset.
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
@@ -85,10 +89,19 @@
     on_lost: Callable[[], None] | None = None
 
     def __init__(
-        self, *args: Any, limits: LimitSettings, metrics: HostMetrics, **kwargs: Any
+        self,
+        *args: Any,
+        limits: LimitSettings,
+        metrics: HostMetrics,
+        memory: RequestMemory | None = None,
+        **kwargs: Any,
     ) -> None:
+        """Create the protocol; without `memory`, heads are not counted together."""
         super().__init__(*args, **kwargs)
         self._limits = limits
+        self._memory = memory
+        # Memory that the heads of open requests hold.
+        self._held_bytes = 0
         self.timeout_keep_alive = limits.keep_alive_s  # type: ignore[assignment]
         self._metrics = metrics
         self._head_timer: asyncio.TimerHandle | None = None
@@ -114,6 +127,7 @@
         super().connection_lost(exc)
         self._metrics.connections.dec()
         self._stop_head_timer()
+        self._release_heads()
         if self.on_lost is not None:
             self.on_lost()
 
@@ -150,6 +164,7 @@
         if self._is_head_too_large:
             raise HeadTooLargeError
         self._is_body_open = True
+        self._hold_head()
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
@@ -159,6 +174,18 @@
         self._head_bytes = 0
         self._stop_head_timer()
 
+    def on_response_complete(self) -> None:
+        """Release the request of a finished call; the connection may stay idle."""
+        cycle = self.cycle
+        if cycle.response_complete:
+            if self.scope is cycle.scope:
+                self.headers = []
+                self.scope = {"type": "http", "state": {}}  # type: ignore[typeddict-item]
+            cycle.scope = self.scope
+            cycle.body = bytearray()
+            self._release_heads()
+        super().on_response_complete()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse invalid HTTP, or reset the connection where a refusal could mislead.
 
@@ -187,6 +214,27 @@
     def _has_open_request(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def _hold_head(self) -> None:
+        """Reserve memory for a head; without room, keep what a refusal needs of it.
+
+        The application refuses the request if `scope["state"]["has_room"]` is False.
+        """
+        if self._memory is None:
+            return
+        size = estimate_head_bytes(self.url, self.headers)
+        has_room = self._memory.reserve(size, own_bytes=self._held_bytes)
+        self.scope["state"]["has_room"] = has_room
+        if has_room:
+            self._held_bytes += size
+        else:
+            self.url = b"/"
+            self.headers[:] = [item for item in self.headers if item[0] in KEPT_FIELDS]
+
+    def _release_heads(self) -> None:
+        if self._memory is not None:
+            self._memory.release(self._held_bytes)
+            self._held_bytes = 0
+
     def _start_head_timer(self) -> None:
         self._head_timer = self.loop.call_later(
             self._limits.body_timeout_s, self._expire_head
--- a/src/siskinpier/edge/callers.py
+++ b/src/siskinpier/edge/callers.py
@@ -14,8 +14,13 @@
 from ..core.verdict import Problem, Verdict, get_reply_verdict
 from ..logs import log_event
 from .backends import AttemptError, clean_reply_headers
-from .bodies import Body, CallerDisconnectedError, must_close, read_body
-from .body_memory import BodyShare
+from .bodies import (
+    Body,
+    CallerDisconnectedError,
+    make_no_room_problem,
+    must_close,
+    read_body,
+)
 from .caller_connections import CallerConnection
 from .exchange import AbortReply, Exchange, ReplyCopy
 from .headers import (
@@ -33,6 +38,7 @@
     parse_timeout_s,
     parse_urgency,
 )
+from .request_memory import RequestShare
 from .responses import (
     Receive,
     Scope,
@@ -64,9 +70,13 @@
             return
         if self._shell.state.lifecycle in (Lifecycle.CLOSING, Lifecycle.STOPPED):
             send = make_closing_send(send)
+        if not scope["state"].get("has_room", True):
+            problem = make_no_room_problem()
+            await self._refuse_unread(send, list(scope["headers"]), problem)
+            return
         path: str = scope["path"]
         if path.startswith(CALL_PREFIX):
-            with self._shell.body_memory.share() as share:
+            with self._shell.request_memory.share() as share:
                 await self._serve_call(scope, receive, send, share)
         elif path == "/addresses":
             await self._serve_addresses(scope, send)
@@ -87,7 +97,7 @@
         await send_json(send, 200, document)
 
     async def _serve_call(
-        self, scope: Scope, receive: Receive, send: Send, share: BodyShare
+        self, scope: Scope, receive: Receive, send: Send, share: RequestShare
     ) -> None:
         headers: Headers = list(scope["headers"])
         service, _, rest = scope["path"][len(CALL_PREFIX) :].partition("/")
@@ -100,10 +110,7 @@
         except CallerDisconnectedError:
             return
         if isinstance(body, Problem):
-            self._log_refused_body(body, "")
-            if must_close(body, headers):
-                send = make_closing_send(send)
-            await send_problem(send, body, "")
+            await self._refuse_unread(send, headers, body)
             return
         call = self._make_call(service, "/" + rest, scope, headers, body)
         exchange = Exchange(
@@ -115,7 +122,16 @@
         )
         await self._run_call(call, exchange, scope["state"]["connection"], send)
 
-    def _log_refused_body(self, problem: Problem, call_id: str) -> None:
+    async def _refuse_unread(
+        self, send: Send, headers: Headers, problem: Problem
+    ) -> None:
+        """Refuse a request whose body is not read."""
+        self._log_unread(problem, "")
+        if must_close(problem, headers):
+            send = make_closing_send(send)
+        await send_problem(send, problem, "")
+
+    def _log_unread(self, problem: Problem, call_id: str) -> None:
         """Log and count a refusal that the core does not know of."""
         fields: dict[str, object] = {
             "call": call_id,
--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -110,7 +110,9 @@
     tune_garbage_collector()
     tasks.start_soon(handle_signals, shell, _log_reload)
     tasks.start_soon(shell.mesh.serve, sockets.peers, tasks)
-    caller_server = make_caller_server(shell, CallerApp(shell=shell), certificate)
+    caller_server = make_caller_server(
+        shell, CallerApp(shell=shell), certificate, memory=shell.request_memory
+    )
     async with anyio.create_task_group() as servers:
         servers.start_soon(_serve_operators, shell, sockets.operators, certificate)
         servers.start_soon(caller_server.serve, [sockets.callers])
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -16,6 +16,7 @@
 
 from ..core.events import ShutdownRequested
 from .caller_connections import CallerProtocol
+from .request_memory import RequestMemory
 from .shell import Shell
 from .tls import Certificate
 
@@ -95,20 +96,35 @@
                 shell.handle(ShutdownRequested(now=shell.clock()))
 
 
-def _make_protocol(shell: Shell, *args: Any, **kwargs: Any) -> CallerProtocol:
+def _make_protocol(
+    shell: Shell, memory: RequestMemory | None, *args: Any, **kwargs: Any
+) -> CallerProtocol:
     """Return the protocol of a caller's connection, with the current limits."""
-    limits = shell.settings.limits
-    return CallerProtocol(*args, limits=limits, metrics=shell.metrics, **kwargs)
+    return CallerProtocol(
+        *args,
+        limits=shell.settings.limits,
+        metrics=shell.metrics,
+        memory=memory,
+        **kwargs,
+    )
 
 
 def make_caller_server(
-    shell: Shell, app: Any, certificate: Certificate | None = None
+    shell: Shell,
+    app: Any,
+    certificate: Certificate | None = None,
+    *,
+    memory: RequestMemory | None = None,
 ) -> uvicorn.Server:
-    """Return a server for callers; it stops when `should_exit` is set."""
+    """Return a server for callers; it stops when `should_exit` is set.
+
+    `memory` is that of all requests together, for an app that refuses those for which
+    there is no room.
+    """
     settings = shell.settings
     cfg = uvicorn.Config(
         app,
-        http=partial(_make_protocol, shell),  # type: ignore[arg-type]
+        http=partial(_make_protocol, shell, memory),  # type: ignore[arg-type]
         loop="none",
         lifespan="off",
         access_log=False,
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -54,13 +54,13 @@
 from ..metrics import HostMetrics
 from ..settings.host import HostSettings
 from .backends import AttemptError, BackendClient
-from .body_memory import BodyMemory
 from .exchange import AbortReply, Exchange
 from .header_adapter import HeaderAdapter
 from .headers import Headers
 from .loop_timers import LoopTimers
 from .mesh import Mesh
 from .object_store import ObjectStore
+from .request_memory import RequestMemory
 
 # A probe fails if its response body is longer.
 PROBE_BODY_LIMIT_BYTES: Final = 65_536
@@ -105,7 +105,9 @@
             handle_message=self._handle_message,
             handle_refusal=self._handle_refusal,
         )
-        self.body_memory = BodyMemory(limit_bytes=settings.limits.all_bodies_bytes)
+        self.request_memory = RequestMemory(
+            limit_bytes=settings.limits.all_requests_bytes
+        )
         self._backends = backends
         self._timers = LoopTimers(clock=clock, fire=self._handle_timer)
         self._orders: dict[str, tuple[anyio.Event, list[OrderResult]]] = {}
--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -8,8 +8,12 @@
 from ..core.routing.calls import Call
 from ..core.state import Lifecycle
 from ..core.verdict import Problem, Verdict
-from ..edge.bodies import CallerDisconnectedError, must_close, read_body
-from ..edge.body_memory import BodyShare
+from ..edge.bodies import (
+    CallerDisconnectedError,
+    make_no_room_problem,
+    must_close,
+    read_body,
+)
 from ..edge.callers import CallerApp
 from ..edge.exchange import Exchange
 from ..edge.headers import (
@@ -20,6 +24,7 @@
     make_caller_id,
     make_fingerprint,
 )
+from ..edge.request_memory import RequestShare
 from ..edge.responses import (
     Receive,
     Scope,
@@ -65,13 +70,16 @@
         if self._shell.state.lifecycle not in (Lifecycle.READY, Lifecycle.STARTING):
             send = make_closing_send(send)
         headers: Headers = list(scope["headers"])
+        if not scope["state"].get("has_room", True):
+            await self._refuse_unread(send, headers, make_no_room_problem())
+            return
         fault = find_header_error(headers, scope["http_version"]) or _find_field_error(
             headers
         )
         if fault is not None:
             await _send_refusal(make_closing_send(send), 400, fault)
             return
-        with self._shell.body_memory.share() as share:
+        with self._shell.request_memory.share() as share:
             await self._serve_request(scope, receive, send, headers, share)
 
     async def _serve_request(
@@ -80,20 +88,14 @@
         receive: Receive,
         send: Send,
         headers: Headers,
-        share: BodyShare,
+        share: RequestShare,
     ) -> None:
         try:
             body = await read_body(headers, receive, self._shell.settings.limits, share)
         except CallerDisconnectedError:
             return
         if isinstance(body, Problem):
-            request_id = get_header(headers, REQUEST_ID_HEADER) or b""
-            self._log_refused_body(body, request_id.decode("latin-1"))
-            if must_close(body, headers):
-                send = make_closing_send(send)
-            await _send_refusal(
-                send, body.status, body.detail, retry_after_s=body.retry_after_s
-            )
+            await self._refuse_unread(send, headers, body)
             return
         target = _get_target(scope)
         caller = make_caller_id(headers)
@@ -123,6 +125,18 @@
         )
         await self._run_call(call, exchange, scope["state"]["connection"], send)
 
+    async def _refuse_unread(
+        self, send: Send, headers: Headers, problem: Problem
+    ) -> None:
+        """Refuse a request whose body is not read."""
+        request_id = get_header(headers, REQUEST_ID_HEADER) or b""
+        self._log_unread(problem, request_id.decode("latin-1"))
+        if must_close(problem, headers):
+            send = make_closing_send(send)
+        await _send_refusal(
+            send, problem.status, problem.detail, retry_after_s=problem.retry_after_s
+        )
+
     def _make_call_id(self, headers: Headers) -> str:
         """Return the caller's request id, with a suffix if it is not unique here.
 
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -158,7 +158,9 @@
     tasks.start_soon(handle_signals, shell, settings_watcher.reload_settings)
     tasks.start_soon(settings_watcher.run)
     tasks.start_soon(shell.mesh.serve, peers, tasks)
-    caller_server = make_caller_server(shell, PlatformCallerApp(shell=shell))
+    caller_server = make_caller_server(
+        shell, PlatformCallerApp(shell=shell), memory=shell.request_memory
+    )
     status_server = make_caller_server(shell, StatusApp(shell=shell))
     async with anyio.create_task_group() as servers:
         tasks.start_soon(status_server.serve, [readiness, addresses, *metrics])
--- a/src/siskinpier/settings/host.py
+++ b/src/siskinpier/settings/host.py
@@ -77,9 +77,9 @@
     buffered_body_bytes: Annotated[int, Ge(0), Le(67_108_864)] = 262_144
     # Bytes of the largest request body that is accepted.
     body_bytes: Annotated[int, Ge(0), Le(1_073_741_824)] = 16_777_216
-    # Bytes of request bodies kept in memory for all calls together; calls whose body
-    # finds no room are refused.
-    all_bodies_bytes: Annotated[int, Ge(0), Le(1_073_741_824)] = 50_331_648
+    # Bytes of requests kept in memory for all calls together; calls for which there is
+    # no room are refused.
+    all_requests_bytes: Annotated[int, Ge(0), Le(1_073_741_824)] = 50_331_648
     # Open connections from callers.
     connections: Annotated[int, Ge(1), Le(1_000_000)] = 2_000
     # Seconds until a request body must have arrived.
--- a/tests/test_host_memory.py
+++ b/tests/test_host_memory.py
@@ -17,6 +17,9 @@
 BUFFERED_BYTES: Final = 260_000
 STREAMED_BYTES: Final = 900_000
 PATH: Final = "/export/x"  # its calls may take longest
+CONNECTION_COUNT: Final = 2_000
+# A head of nearly the largest size, in as many fields as fit.
+FIELDS: Final = ["X-Field-Name: 12345678"] * 640
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +80,35 @@
     return await asyncio.gather(*calls)
 
 
+async def send_heads(port: int) -> list[int]:
+    """Send large heads on all connections; return the statuses, and keep them open."""
+    answered: list[int] = []
+    done = asyncio.Event()
+
+    async def send_head(number: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(make_head(f"call-{number}", "Content-Length: 0", *FIELDS))
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            answer = await reader.readuntil(b"\r\n\r\n")
+            answered.append(int(answer.split(b" ", 2)[1]))
+            if len(answered) == CONNECTION_COUNT:
+                done.set()
+            await done.wait()
+        writer.close()
+
+    await asyncio.gather(*map(send_head, range(CONNECTION_COUNT)))
+    return answered
+
+
+class TestHeads:
+    """Many callers whose requests have large heads."""
+
+    def test_large_heads_stay_within_memory(self, deployment: Deployment) -> None:
+        statuses = asyncio.run(send_heads(deployment.host.front))
+        assert set(statuses) <= {503, 504}
+        assert deployment.host.get_peak_bytes() < MEMORY_BYTES
+
+
 class TestBodies:
     """Many callers that send bodies at once."""
 
