Do not take a repeated metadata of an entry for another entry's

Callers: if the bytes of an entry repeat its metadata with another name, the decoder takes the last one: an entry that names no upstream replaced the good one of that name in an answer to a watch, and the server counted as gone. It takes a store that passes on what is in an entry unchecked; whether the users' does is not known.

Now an entry or event whose first metadata is not the decoded one is passed over under its first name.

--- a/src/siskinpier/platform/store_objects.py
+++ b/src/siskinpier/platform/store_objects.py
@@ -40,6 +40,9 @@
 )
 
 
+_METADATA_KEY: Final = b'"metadata"'
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreObject:
     """An object in the store; `revision` is the revision of its last change.
@@ -102,11 +105,11 @@
     def __init__(self) -> None:
         self._count = 0
 
-    def add(self, name: object, **fields: object) -> None:
+    def add(self, name: str, **fields: object) -> None:
         """Log an object."""
         self._count += 1
         if self._count <= MAX_LOGGED_OBJECTS:
-            log_warning("object-unreadable", name=_shorten(name), **fields)
+            log_warning("object-unreadable", name=name, **fields)
 
     def end(self) -> None:
         """Log how many objects were left out."""
@@ -198,12 +201,27 @@
     if len(content) <= MAX_ENTRY_BYTES or _is_configuration(kind, metadata):
         try:
             document = decode_json(content)
-            return document if isinstance(document, dict) else {}
         except ValueError:
-            metadata = _decode_metadata(content)
+            document = None
+        if isinstance(document, dict) and not _has_second_metadata(content, document):
+            return document
+        metadata = _decode_metadata(content)
     return {"metadata": metadata}
 
 
+def _has_second_metadata(content: bytes, document: dict[str, Any]) -> bool:
+    """Return True if a damaged value repeats the metadata or object of its entry.
+
+    Decoders take the last one, which may be the name of another entry.
+    """
+    found = _METADATA.match(content)
+    if found is None or content.count(_METADATA_KEY) == 1:
+        return False
+    item = document.get("object", document)
+    metadata = item.get("metadata") if isinstance(item, dict) else None
+    return bool(metadata != _decode_metadata(content))
+
+
 def _is_configuration(kind: str, metadata: Any) -> bool:
     return (
         kind == CONFIGURATION_KIND
@@ -236,10 +254,10 @@
         metadata = {}
     name, revision = metadata.get("name"), metadata.get("revision")
     if not isinstance(name, str) or not is_readable(name):
-        log.add(name)
+        log.add(reprlib.repr(name))
         return None
     if not _is_revision(revision):
-        log.add(name, revision=reprlib.repr(revision))
+        log.add(name[:MAX_LOGGED_CHARS], revision=reprlib.repr(revision))
         return None
     return StoreObject(
         name=name,
@@ -254,7 +272,3 @@
     if not isinstance(value, int) or isinstance(value, bool):
         return False
     return 0 <= value <= MAX_REVISION
-
-
-def _shorten(name: object) -> str:
-    return name[:MAX_LOGGED_CHARS] if isinstance(name, str) else reprlib.repr(name)
