--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -296,6 +296,10 @@
     "999.1.1.1:80",
     ".......:80",
     "localhost:80",
+    "[::1%lo]:80",
+    "[::1%@x]:80",
+    "[::1%a]b]:80",
+    "[::1%\r\n]:80",
     [],
     [[]],
     {},
@@ -304,7 +308,7 @@
 
 
 MAX_SHORT_CHARS: Final = 10_000
-NO_ADDRESSES: Final = ("", "nowhere", "127.0.0.1:99999", "a..b:80", "[::1")
+NO_ADDRESSES: Final = ("", "nowhere", "127.0.0.1:99999", "a..b:80", "[::1", "[::1%@]:1")
 
 
 def list_odd_variants(document: dict[str, Any]) -> list[dict[str, Any]]:
@@ -329,6 +333,7 @@
             if isinstance(decoded, RegisteredServer):
                 assert survives_a_message(decoded), entry
                 assert parse_ip_port(decoded.address) is not None, entry
+                assert "%" not in decoded.address, entry
                 assert len(decoded.service + decoded.failure_domain) <= 200, entry
 
     @pytest.mark.parametrize(
@@ -345,6 +350,7 @@
             if isinstance(decoded, ListedHost):
                 assert parse_ip_port(decoded.callers) is not None, spec
                 assert parse_ip_port(decoded.peers) is not None, spec
+                assert "%" not in decoded.callers + decoded.peers, spec
                 assert 0.0 <= decoded.strength <= 1.0, spec
                 assert 0 < len(decoded.failure_domain) <= 100, spec
                 assert len(decoded.region) <= 100, spec
