--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,7 +39,7 @@
 from soak.odd_entries import ODD_VALUES, make_odd_settings, put_odd_entry
 from soak.processes import HostConfig, HostProcess, make_command
 from soak.run import RunConfig, run_schedule
-from soak.schedule import ALL_HOSTS, FaultKind, make_schedule
+from soak.schedule import ALL_HOSTS, START_KINDS, FaultKind, make_schedule
 from tests.standins.metadata_store import MetadataStore
 from tests.standins.process import HANG_TIMEOUT_S, ROOT
 
@@ -47,6 +47,8 @@
 HOSTS = ["h0", "h1"]
 SERVERS = ["s0", "s1"]
 SEED = 7
+# Seeds and lengths in seconds, which together have all kinds of faults of a start.
+SHORT_RUNS = [(SEED, 10.0), (1, 10.0), (4, 14.0), (5, 14.0)]
 
 
 def make_sent(at: float, request: str = "c-1", route: str = "search") -> Sent:
@@ -414,13 +416,27 @@
 
 
 class TestRun:
-    """A short run on real processes must violate no rule that has no time limit."""
-
-    def test_short_run(self, tmp_path: Path) -> None:
+    """Short runs on real processes must violate no rule that has no time limit."""
+
+    def test_every_kind_of_a_start_is_played(self) -> None:
+        played = {
+            scheduled.kind
+            for seed, length_s in SHORT_RUNS
+            for scheduled in make_schedule(
+                seed,
+                length_s,
+                [f"h{n}" for n in range(4)],
+                [f"s{n}" for n in range(6)],
+            )
+        }
+        assert played >= set(START_KINDS)
+
+    @pytest.mark.parametrize(("seed", "length_s"), SHORT_RUNS)
+    def test_short_run(self, tmp_path: Path, seed: int, length_s: float) -> None:
         config = RunConfig(
-            seed=SEED,
+            seed=seed,
             folder=tmp_path / "run",
-            length_s=10.0,
+            length_s=length_s,
             hosts=4,
             servers=6,
             callers=8,
