Stop a host that has no free descriptor without cutting its calls off

A host that was told to stop while callers' connections had taken all its descriptors ended at once with exit code 1, in place of finishing its calls: on the way it duplicates its listening sockets and accepts what waits in their queues, and EMFILE there went up to the task group.

The queues are now emptied through the sockets themselves, before they are closed, and an error of accept ends only the accepting, with a line accept-failed.

--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -1,7 +1,6 @@
 """Parts of every kind of host: callers' server, signals, clock, garbage collector."""
 
 import asyncio
-import contextlib
 import gc
 import logging
 import signal
@@ -18,7 +17,7 @@
 from ..core.events import ShutdownRequested
 from ..exit_codes import ExitCode
 from ..failures import FailureLog, LibraryErrors
-from ..logs import log_event
+from ..logs import log_event, log_warning
 from ..signals import SIGNALS
 from .caller_connections import CallerProtocol
 from .shell import Shell
@@ -58,16 +57,11 @@
 
         Closing the listening socket would reset them.
         """
-        listeners = [sock.dup() for server in self.servers for sock in server.sockets]
+        accepted: list[socket.socket] = []
         for server in self.servers:
+            for listener in server.sockets:
+                accepted += _accept_waiting(listener.fileno())
             server.close()
-        accepted: list[socket.socket] = []
-        for listener in listeners:
-            listener.setblocking(False)
-            with contextlib.suppress(BlockingIOError):
-                while True:
-                    accepted.append(listener.accept()[0])
-            listener.close()
         return accepted
 
     def _make_connection(self) -> asyncio.Protocol:
@@ -79,6 +73,22 @@
         )
 
 
+def _accept_waiting(listener_fd: int) -> list[socket.socket]:
+    """Return the connections that wait to be accepted, as far as there is room."""
+    accepted: list[socket.socket] = []
+    listener = socket.socket(fileno=listener_fd)
+    try:
+        while True:
+            accepted.append(listener.accept()[0])
+    except BlockingIOError:
+        pass
+    except OSError as exc:
+        log_warning("accept-failed", reason=str(exc), accepted=len(accepted))
+    finally:
+        listener.detach()
+    return accepted
+
+
 def install_failure_log(failures: FailureLog, handler: logging.Handler) -> None:
     """Record the errors that the event loop and libraries report, one line each."""
     asyncio.get_running_loop().set_exception_handler(failures.handle_loop_error)
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 from contextlib import ExitStack, suppress
@@ -20,7 +21,7 @@
 from siskinpier.platform.settings import SettingsError, decode_settings
 from siskinpier.settings.host import Address
 from tests.standins.platform_host import is_listening, wait_until
-from tests.standins.process import LOOPBACK, find_free_ports
+from tests.standins.process import HANG_TIMEOUT_S, LOOPBACK, find_free_ports
 from tests.standins.started_host import (
     NO_STORE,
     Gate,
@@ -503,3 +504,30 @@
             fill_pipe(fd)
     opened.callback(os.close, fd)
     return fd
+
+
+FEW_DESCRIPTORS = 20
+
+
+class TestDescriptorLimit:
+    """A host without a free descriptor goes on, and stops as usual."""
+
+    def test_stop_without_a_free_descriptor(self, tmp_path: Path) -> None:
+        fields = make_fields()
+
+        def prepare() -> None:
+            hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+            resource.setrlimit(resource.RLIMIT_NOFILE, (FEW_DESCRIPTORS, hard_limit))
+
+        with ExitStack() as opened:
+            host = opened.enter_context(
+                StartedHost(folder=tmp_path, text=make_text(fields), prepare=prepare)
+            )
+            host.wait_for_event("start")
+            ip, _, port = fields["listenAddresses.front"].partition(":")
+            for _ in range(2 * FEW_DESCRIPTORS):
+                conn = socket.create_connection((ip, int(port)), HANG_TIMEOUT_S)
+                opened.enter_context(conn)
+            assert "Too many" in host.wait_for_event("failure")["error"]
+            host.child.send_signal(signal.SIGTERM)
+            assert host.wait_exit() == ExitCode.OK
