Keep signals between the end of their task and its next start

Once the task that handles signals had failed, by an unexpected error of a reload, signals were ignored for good: right where that error ends the host, but a task that is started again would have missed a SIGTERM that came in between.

Signals are now ignored only once the task is cancelled, which happens as the host ends; after an error they are kept for the next start of the task.

--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -123,8 +123,9 @@
 async def handle_signals(shell: Shell, reload: Callable[[], None]) -> None:
     """Start the shutdown on SIGTERM and SIGINT, and call `reload` on SIGHUP.
 
-    Signals that were kept since the start of the process come first. Once cancelled,
-    signals are ignored: the process is about to end.
+    Signals that were kept until now come first: those of the start of the process, or
+    since an error of `reload`. Once cancelled, signals are ignored, as the process is
+    about to end.
     """
 
     def handle(number: int) -> None:
@@ -135,9 +136,13 @@
 
     SIGNALS.open()
     with closing(_SignalWakeup(asyncio.get_running_loop())) as wakeup:
-        while True:
-            SIGNALS.take(handle)
-            await wakeup.wait()
+        try:
+            while True:
+                SIGNALS.take(handle)
+                await wakeup.wait()
+        except asyncio.CancelledError:
+            SIGNALS.close()
+            raise
 
 
 class _SignalWakeup:
@@ -158,8 +163,7 @@
         self._woken.clear()
 
     def close(self) -> None:
-        """Ignore signals from now on, and release the sockets."""
-        SIGNALS.close()
+        """Release the sockets."""
         signal.set_wakeup_fd(-1)
         self._loop.remove_reader(self._reader)
         self._reader.close()
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -91,6 +91,26 @@
     *(f"listenAddresses.{name}" for name in ("front", "ready", "control", "directory")),
 ]
 
+FAILED_RELOAD = """
+import asyncio, os, signal, types
+from siskinpier.edge.serving import handle_signals
+stopped = []
+shell = types.SimpleNamespace(clock=lambda: 0.0, handle=stopped.append)
+def fail():
+    raise RuntimeError("cannot reload")
+async def run():
+    task = asyncio.ensure_future(handle_signals(shell, fail))
+    await asyncio.sleep(0)
+    os.kill(os.getpid(), signal.SIGHUP)
+    await asyncio.wait([task])
+    os.kill(os.getpid(), signal.SIGTERM)
+    task = asyncio.ensure_future(handle_signals(shell, fail))
+    while not stopped:
+        await asyncio.sleep(0.01)
+    task.cancel()
+asyncio.run(run())
+"""
+
 
 def make_product_settings() -> dict[str, Any]:
     """Return settings of a host of the product's own, whose platform is not there."""
@@ -213,6 +233,12 @@
             gate.open()
             assert host.wait_exit() == ExitCode.OK
 
+    def test_stop_after_a_failed_reload_is_kept(self, tmp_path: Path) -> None:
+        text = make_text(make_fields())
+        args = ("-c", FAILED_RELOAD)
+        with StartedHost(folder=tmp_path, text=text, args=args) as host:
+            assert host.wait_exit() == ExitCode.OK, host.read_log()
+
     @pytest.mark.parametrize("module", ["siskinpier.edge.host", None])
     def test_hup_never_ends_the_product_s_own_host(
         self, tmp_path: Path, module: str | None
