Unblock the signals that a host handles

A process that blocks signals and starts a host passes its mask on. Such a host got neither SIGTERM nor SIGHUP: it could not be stopped but by SIGKILL, which cuts off the calls that it is answering, and no rule of its own shows why.

The host now unblocks what it handles as it sets its handlers. The test failed before (1 of 1: the reload never came, given up after 25 s; in a trial the stop did not come in 8 s either).

Tried beside it without finding a fault, one start each with a store and a stop: SIGTERM, SIGINT and SIGHUP ignored by the parent; PYTHON* variables for optimisation, warnings as errors, development mode, debug of asyncio, ASCII output, hash seed, digits and allocator; a C and an unknown locale; a TZ that is unknown or no text; no HOME, no temporary directory, a proxy, a missing working directory; 250 MB of address space, a stack of 256 KB, files of no byte; IPv6 addresses; a zone and a region that are not ASCII; the libraries without their C parts; clocks of 1966, 1972, 2090 and the year 5195 beside a host of today. A clock of the year 318914 ends a host, as uvicorn cannot format that date.

--- a/src/siskinpier/signals.py
+++ b/src/siskinpier/signals.py
@@ -37,6 +37,8 @@
             signal.signal(number, signal.SIG_IGN)
         for number in HANDLED_SIGNALS:
             signal.signal(number, self._receive)
+        # A process inherits the signals that its parent blocked.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
 
     def close(self) -> None:
         """Ignore all signals until the process has ended."""
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -233,6 +233,18 @@
             gate.open()
             assert host.wait_exit() == ExitCode.OK
 
+    def test_signals_that_the_parent_blocked(self, tmp_path: Path) -> None:
+        def prepare() -> None:
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, *STOPS})
+
+        text = make_text(make_fields())
+        with StartedHost(folder=tmp_path, text=text, prepare=prepare) as host:
+            host.wait_for_event("start")
+            host.child.send_signal(signal.SIGHUP)
+            host.wait_for_event("reload")
+            host.child.send_signal(signal.SIGTERM)
+            assert host.wait_exit() == ExitCode.OK
+
     def test_stop_after_a_failed_reload_is_kept(self, tmp_path: Path) -> None:
         text = make_text(make_fields())
         args = ("-c", FAILED_RELOAD)
