--- a/src/siskinpier/signals.py
+++ b/src/siskinpier/signals.py
@@ -43,6 +43,8 @@
             signal.signal(number, self._receive)
         # The interpreter restores the default action of signals that it handles.
         atexit.register(self.close)
+        # A process inherits the signals that its parent blocked.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
 
     def close(self) -> None:
         """Ignore all signals until the process has ended."""
