--- a/src/siskinpier/platform/store_watcher.py
+++ b/src/siskinpier/platform/store_watcher.py
@@ -219,6 +219,7 @@
 
     def _handle_server_list(self, listed: ObjectList) -> None:
         shell = self._shell
+        self._forget_missing_entries(listed)
         servers = [self._decode_server(item) for item in listed.items]
         shell.handle(
             ServersListed(
@@ -239,6 +240,8 @@
                 servers.append(server)
             else:
                 gone.append(name)
+            if change.is_deleted:
+                self._unreadable_reasons.pop(f"server/{name}", None)
         shell.handle(
             ServersChanged(
                 now=shell.clock(),
@@ -273,6 +276,13 @@
         if left_out > 0:
             log_warning("configuration-faults", revision=revision, left_out=left_out)
 
+    def _forget_missing_entries(self, listed: ObjectList) -> None:
+        """Forget why entries of servers were skipped that are not listed any more."""
+        kept = {f"server/{item.name}" for item in listed.items}
+        kept.add(f"config/{CONFIGURATION_NAME}")
+        for name in self._unreadable_reasons.keys() - kept:
+            del self._unreadable_reasons[name]
+
     def _log_unreadable(self, name: str, decoded: Unreadable) -> None:
         """Log a skipped entry, once for each reason."""
         if self._unreadable_reasons.get(name) != decoded.reason:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -30,7 +30,9 @@
     CONFIG,
     Backend,
     PlatformHost,
+    list_log_fields,
     make_entry,
+    run_deployment,
     wait_until,
 )
 from tests.test_platform_documents import ENTRY, change, make_settings
@@ -357,6 +359,23 @@
                 notice = IntentsNotice(version="1", intents=decoded.intents)
                 assert decode_message(encode_message(notice)) == notice, spec
 
+    def test_reasons_of_removed_entries_are_forgotten(self, tmp_path: Path) -> None:
+        with run_deployment(tmp_path) as running:
+            store, host = running.store, running.host
+
+            def is_logged(name: str, times: int) -> bool:
+                rows = list_log_fields(host.read_log(), "entry-unreadable")
+                names = [row["name"] for row in rows]
+                return names.count(f"server/{name}") == times
+
+            for number in (1, 2):
+                store.put("servers", "odd", {"address": 7})
+                wait_until(partial(is_logged, "odd", number))
+                store.delete("servers", "odd")
+                # The host has read of the removal once it has read this entry.
+                store.put("servers", f"mark-{number}", {"address": 7})
+                wait_until(partial(is_logged, f"mark-{number}", 1))
+
     def test_hosts_go_on(self, tmp_path: Path) -> None:
         # A host contacts up to eight hosts at a time that it never heard from.
         specs = [{**HOST, "peers": address} for address in NO_ADDRESSES]
