--- a/tests/standins/raw_store.py
+++ b/tests/standins/raw_store.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Final
@@ -21,6 +22,17 @@
     return head.encode() + body
 
 
+def damage(text: bytes, rng: random.Random) -> bytes:
+    """Return a text in which some bytes are changed, removed or added."""
+    damaged = bytearray(text)
+    for _ in range(rng.randrange(1, 6)):
+        begin = rng.randrange(len(damaged) + 1)
+        end = begin + rng.choice([0, 1, 8])
+        pieces = [b"", b"\r\n", b"\x00", b" ", b":", b"\xff", b"9", b",", b";", b"{"]
+        damaged[begin:end] = rng.choice(pieces)
+    return bytes(damaged)
+
+
 class RawStore:
     """Answers each request with what `respond` returns for its query, or `reply`."""
 
--- a/tests/test_damaged_entries.py
+++ b/tests/test_damaged_entries.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, Final
@@ -18,13 +19,20 @@
 from siskinpier.platform.documents import decode_server
 from siskinpier.platform.json_documents import decode_json
 from siskinpier.platform.store import ObjectList, StoreClient
-from siskinpier.platform.store_objects import ChangeList, StoreObject
+from siskinpier.platform.store_objects import (
+    ChangeList,
+    ObjectPage,
+    StoreObject,
+    decode_changes,
+    decode_page,
+)
 from tests.standins.platform_host import make_entry
-from tests.standins.raw_store import Query, RawStore, make_reply, run_raw_store
+from tests.standins.raw_store import Query, RawStore, damage, make_reply, run_raw_store
 from tests.test_foreign_entries import list_paths, run_pair, survives_a_message
 from tests.test_platform_documents import ENTRY, change
 
 MARK: Final = "@"
+RANDOM_ROWS: Final = 1_000
 # Bytes in place of a value, its quotes included.
 VALUES: Final = {
     "control character": b'"\x01"',
@@ -265,6 +273,29 @@
         assert isinstance(asyncio.run(run()), Unavailable)
 
 
+class TestRandomDamage:
+    """Random bytes in an entry hide no other one."""
+
+    @pytest.mark.parametrize("place", [0, 1, 2])
+    def test_list_and_watch(self, place: int) -> None:
+        async def run() -> None:
+            for _ in range(RANDOM_ROWS):
+                rows = [make_row(name) for name in GOOD]
+                # The brace is the store's own.
+                rows.insert(place, b"{" + damage(make_row("b")[1:], rng))
+                page = await decode_page("servers", make_list(rows))
+                assert isinstance(page, ObjectPage), rows[place]
+                check_items(list(page.items), rows[place])
+                answer = make_watch_answer([make_event(row) for row in rows])
+                result = await decode_changes("servers", answer, era=0)
+                assert isinstance(result, ChangeList), rows[place]
+                items = [change.item for change in result.changes]
+                check_items(items, rows[place])
+
+        rng = random.Random(place)
+        asyncio.run(run())
+
+
 ODD_NAMES: Final = {
     "not UTF-8": b"b\xff",
     "surrogate": b"b\\ud800",
