--- a/src/siskinpier/edge/callers.py
+++ b/src/siskinpier/edge/callers.py
@@ -12,8 +12,15 @@
 from ..core.routing.calls import Call
 from ..core.state import Lifecycle
 from ..core.verdict import Problem, Verdict, get_reply_verdict
+from ..logs import log_event
 from .backends import AttemptError, clean_reply_headers
-from .bodies import Body, CallerDisconnectedError, read_body
+from .bodies import (
+    Body,
+    CallerDisconnectedError,
+    make_no_room_problem,
+    must_close,
+    read_body,
+)
 from .caller_connections import CallerConnection
 from .exchange import AbortReply, Exchange, ReplyCopy
 from .headers import (
@@ -31,6 +38,7 @@
     parse_timeout_s,
     parse_urgency,
 )
+from .request_memory import RequestShare
 from .responses import (
     Receive,
     Scope,
@@ -62,9 +70,14 @@
             return
         if self._shell.state.lifecycle in (Lifecycle.CLOSING, Lifecycle.STOPPED):
             send = make_closing_send(send)
+        if not scope["state"].get("has_room", True):
+            problem = make_no_room_problem()
+            await self._refuse_unread(send, list(scope["headers"]), problem)
+            return
         path: str = scope["path"]
         if path.startswith(CALL_PREFIX):
-            await self._serve_call(scope, receive, send)
+            with self._shell.request_memory.share() as share:
+                await self._serve_call(scope, receive, send, share)
         elif path == "/addresses":
             await self._serve_addresses(scope, send)
         else:
@@ -83,7 +96,9 @@
             return
         await send_json(send, 200, document)
 
-    async def _serve_call(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _serve_call(
+        self, scope: Scope, receive: Receive, send: Send, share: RequestShare
+    ) -> None:
         headers: Headers = list(scope["headers"])
         service, _, rest = scope["path"][len(CALL_PREFIX) :].partition("/")
         fault = find_header_error(headers, scope["http_version"])
@@ -91,12 +106,11 @@
             await send_problem(make_closing_send(send), _make_bad_request(fault), "")
             return
         try:
-            body = await read_body(headers, receive, self._shell.settings.limits)
+            body = await read_body(headers, receive, self._shell.settings.limits, share)
         except CallerDisconnectedError:
             return
         if isinstance(body, Problem):
-            # Otherwise the rest of the body would be parsed as the next request.
-            await send_problem(make_closing_send(send), body, "")
+            await self._refuse_unread(send, headers, body)
             return
         call = self._make_call(service, "/" + rest, scope, headers, body)
         exchange = Exchange(
@@ -108,6 +122,29 @@
         )
         await self._run_call(call, exchange, scope["state"]["connection"], send)
 
+    async def _refuse_unread(
+        self, send: Send, headers: Headers, problem: Problem
+    ) -> None:
+        """Refuse a request whose body is not read."""
+        self._log_unread(problem, "")
+        if must_close(problem, headers):
+            send = make_closing_send(send)
+        await send_problem(send, problem, "")
+
+    def _log_unread(self, problem: Problem, call_id: str) -> None:
+        """Log and count a refusal that the core does not know of."""
+        fields: dict[str, object] = {
+            "call": call_id,
+            "service": "",
+            "status": problem.status,
+            "verdict": problem.verdict,
+            "reason": problem.title,
+            "detail": problem.detail,
+            "retry_after_s": problem.retry_after_s,
+        }
+        self._shell.metrics.count_decision("refuse", fields)
+        log_event("refuse", **fields)
+
     async def _run_call(
         self, call: Call, exchange: Exchange, connection: CallerConnection, send: Send
     ) -> None:
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -1,7 +1,6 @@
 """Parts of every kind of host: callers' server, signals, clock, garbage collector."""
 
 import asyncio
-import contextlib
 import gc
 import logging
 import signal
@@ -18,9 +17,10 @@
 from ..core.events import ShutdownRequested
 from ..exit_codes import ExitCode
 from ..failures import FailureLog, LibraryErrors
-from ..logs import log_event
+from ..logs import log_event, log_warning
 from ..signals import SIGNALS
 from .caller_connections import CallerProtocol
+from .request_memory import RequestMemory
 from .shell import Shell
 from .tls import Certificate
 
@@ -58,16 +58,11 @@
 
         Closing the listening socket would reset them.
         """
-        listeners = [sock.dup() for server in self.servers for sock in server.sockets]
+        accepted: list[socket.socket] = []
         for server in self.servers:
+            for listener in server.sockets:
+                accepted += _accept_waiting(listener.fileno())
             server.close()
-        accepted: list[socket.socket] = []
-        for listener in listeners:
-            listener.setblocking(False)
-            with contextlib.suppress(BlockingIOError):
-                while True:
-                    accepted.append(listener.accept()[0])
-            listener.close()
         return accepted
 
     def _make_connection(self) -> asyncio.Protocol:
@@ -79,6 +74,22 @@
         )
 
 
+def _accept_waiting(listener_fd: int) -> list[socket.socket]:
+    """Return the connections that wait to be accepted, as far as there is room."""
+    accepted: list[socket.socket] = []
+    listener = socket.socket(fileno=listener_fd)
+    try:
+        while True:
+            accepted.append(listener.accept()[0])
+    except BlockingIOError:
+        pass
+    except OSError as exc:
+        log_warning("accept-failed", reason=str(exc), accepted=len(accepted))
+    finally:
+        listener.detach()
+    return accepted
+
+
 def install_failure_log(failures: FailureLog, handler: logging.Handler) -> None:
     """Record the errors that the event loop and libraries report, one line each."""
     asyncio.get_running_loop().set_exception_handler(failures.handle_loop_error)
@@ -113,8 +124,9 @@
 async def handle_signals(shell: Shell, reload: Callable[[], None]) -> None:
     """Start the shutdown on SIGTERM and SIGINT, and call `reload` on SIGHUP.
 
-    Signals that were kept since the start of the process come first. Once cancelled,
-    signals are ignored: the process is about to end.
+    Signals that were kept until now come first: those of the start of the process, or
+    since an error of `reload`. Once cancelled, signals are ignored, as the process is
+    about to end.
     """
 
     def handle(number: int) -> None:
@@ -125,9 +137,13 @@
 
     SIGNALS.open()
     with closing(_SignalWakeup(asyncio.get_running_loop())) as wakeup:
-        while True:
-            SIGNALS.take(handle)
-            await wakeup.wait()
+        try:
+            while True:
+                SIGNALS.take(handle)
+                await wakeup.wait()
+        except asyncio.CancelledError:
+            SIGNALS.close()
+            raise
 
 
 class _SignalWakeup:
@@ -148,8 +164,7 @@
         self._woken.clear()
 
     def close(self) -> None:
-        """Ignore signals from now on, and release the sockets."""
-        SIGNALS.close()
+        """Release the sockets."""
         signal.set_wakeup_fd(-1)
         self._loop.remove_reader(self._reader)
         self._reader.close()
@@ -160,20 +175,35 @@
         self._woken.set()
 
 
-def _make_protocol(shell: Shell, *args: Any, **kwargs: Any) -> CallerProtocol:
+def _make_protocol(
+    shell: Shell, memory: RequestMemory | None, *args: Any, **kwargs: Any
+) -> CallerProtocol:
     """Return the protocol of a caller's connection, with the current limits."""
-    limits = shell.settings.limits
-    return CallerProtocol(*args, limits=limits, metrics=shell.metrics, **kwargs)
+    return CallerProtocol(
+        *args,
+        limits=shell.settings.limits,
+        metrics=shell.metrics,
+        memory=memory,
+        **kwargs,
+    )
 
 
 def make_caller_server(
-    shell: Shell, app: Any, certificate: Certificate | None = None
+    shell: Shell,
+    app: Any,
+    certificate: Certificate | None = None,
+    *,
+    memory: RequestMemory | None = None,
 ) -> uvicorn.Server:
-    """Return a server for callers; it stops when `should_exit` is set."""
+    """Return a server for callers; it stops when `should_exit` is set.
+
+    `memory` is that of all requests together, for an app that refuses those for which
+    there is no room.
+    """
     settings = shell.settings
     cfg = uvicorn.Config(
         app,
-        http=partial(_make_protocol, shell),  # type: ignore[arg-type]
+        http=partial(_make_protocol, shell, memory),  # type: ignore[arg-type]
         loop="none",
         lifespan="off",
         access_log=False,
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -61,6 +61,7 @@
 from .loop_timers import LoopTimers
 from .mesh import Mesh
 from .object_store import ObjectStore
+from .request_memory import RequestMemory
 
 # A probe fails if its response body is longer.
 PROBE_BODY_LIMIT_BYTES: Final = 65_536
@@ -117,6 +118,9 @@
             handle_message=self._handle_message,
             handle_refusal=self._handle_refusal,
         )
+        self.request_memory = RequestMemory(
+            limit_bytes=settings.limits.all_requests_bytes
+        )
         self._backends = backends
         self._timers = LoopTimers(clock=clock, fire=self._handle_timer)
         self._orders: dict[str, tuple[anyio.Event, list[OrderResult]]] = {}
