Do not lose a stop among many reloads while a host starts

The signals kept for later were the last 16, so that the reloads drove the stop out.

Each signal is now kept once, as the kernel does with pending signals. The question whether a stop is kept also no longer steps through the queue, which a signal may change meanwhile.

--- a/src/siskinpier/signals.py
+++ b/src/siskinpier/signals.py
@@ -22,15 +22,14 @@
         signal.SIGIO,
     }
 )
-# Signals kept until they are handled; of more, the latest.
-MAX_PENDING_SIGNALS = 16
 
 
 class SignalInbox:
     """Keeps the signals of the process until the host is able to handle them."""
 
     def __init__(self) -> None:
-        self._pending: deque[int] = deque(maxlen=MAX_PENDING_SIGNALS)
+        # Each signal at most once.
+        self._pending: deque[int] = deque()
 
     def open(self) -> None:
         """Keep signals from now on; no signal that a host handles ends the process.
@@ -51,7 +50,8 @@
 
     def is_stop_requested(self) -> bool:
         """Return True if a signal that stops the host is kept."""
-        return any(number in STOP_SIGNALS for number in self._pending)
+        # In one step, since a signal may arrive between two.
+        return not STOP_SIGNALS.isdisjoint(self._pending)
 
     def take(self, handle: Callable[[int], None]) -> None:
         """Pass each signal that is kept to a function, oldest first."""
@@ -59,7 +59,8 @@
             handle(self._pending.popleft())
 
     def _receive(self, number: int, _frame: FrameType | None) -> None:
-        self._pending.append(number)
+        if number not in self._pending:
+            self._pending.append(number)
 
 
 SIGNALS = SignalInbox()
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -176,6 +176,16 @@
 main()
 """
 
+MANY_HUPS_CODE = """
+import os, signal
+from siskinpier.signals import SIGNALS
+SIGNALS.open()
+for number in [signal.SIGTERM, *[signal.SIGHUP] * 100]:
+    os.kill(os.getpid(), number)
+print(SIGNALS.is_stop_requested())
+SIGNALS.take(lambda number: print(signal.Signals(number).name))
+"""
+
 
 class TestSignals:
     """Only SIGTERM and SIGINT end a host, with exit code 0, at whatever time."""
@@ -209,6 +219,15 @@
             assert host.list_events("start") == []
             assert host.list_events("start-cancelled")[0]["stage"] == "settings"
 
+    def test_many_hups_while_modules_load_do_not_lose_the_stop(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-c", MANY_HUPS_CODE],
+            capture_output=True,
+            timeout=HANG_TIMEOUT_S,
+            text=True,
+        )
+        assert done.stdout.split() == ["True", "SIGTERM", "SIGHUP"]
+
     def test_signal_after_a_cancelled_start_keeps_the_exit_code(
         self, tmp_path: Path
     ) -> None:
