Let an unexpected error cost what it hit, and not the host

A host ran all of its loops, tasks and events in one task group, so an error that nobody foresaw in any of them ended the process with code 1. As all hosts read the same store, one entry could end all of them. An error in a timer was only logged, but a timer that sets itself again, such as the heartbeat, then never fired again.

Now the place of an error decides what it costs: - Shell.handle raises nothing. The call or order of a failed event gets its final answer at once (503 if surely not sent, else 502 and may have run). The effects of the applied part are carried out, since the state counts on them; timers go on with a growing delay; slots are counted anew a second later. One failed effect stops no other. - Attempts, probes, reads and writes report a failure as the result that the core knows; a failed attempt of this kind (internal) says nothing about the server. - Loops and links are started again after a growing delay. So are servers, with the same sockets and connections. Only callers that six servers in a row could not serve end a host: it leaves gracefully, with code 1. - A failed watch, or an event with what it read that was not applied, is told to the core as a lost platform, and all is listed again. A revision that was applied in part does not count as in force; services that were not rebuilt are tried again; one service stops no other. - A decoding error costs one entry, and a server known before stays in use. - After the end of a host, timers, messages, tasks and late events do nothing; closing a client cannot change the exit code. A shutdown ends at its time limit even if the core does not stop. - A host that is 10 s behind the configuration of a live peer, or whose server of callers is down, is not ready. It stays ready if no peer is ahead: all hosts may fail alike at one entry.

MemoryError counts as any other error: what asked for too much has ended. Cancellation, SystemExit and KeyboardInterrupt pass through.

Evidence: a real host process in which one function fails three times.

--- a/src/siskinpier/core/cluster/readiness.py
+++ b/src/siskinpier/core/cluster/readiness.py
@@ -8,12 +8,22 @@
 
 # How long a host that got its first routing intents waits for newer ones.
 START_WAIT_S: Final = 1.0
+# How long a host may have older routing intents than a live peer and be ready.
+MAX_BEHIND_S: Final = 10.0
 NOTHING_STORED: Final = "no routing intents are stored"
 
 
 def update_readiness(state: HostState, now: float, out: list[Effect]) -> None:
-    """Make a starting host ready if no reason against it is left."""
+    """Make a starting host ready if no reason against it is left.
+
+    For a host that was ready, record since when live peers have newer routing intents.
+    """
     if state.lifecycle is not Lifecycle.STARTING:
+        is_behind = _get_reported_revision(state, now) > state.intents.revision
+        if not is_behind:
+            state.behind_since = None
+        elif state.behind_since is None:
+            state.behind_since = now
         return
     if find_not_ready_reason(state, now) is not None:
         return
@@ -31,14 +41,7 @@
     """
     if not state.intents_known or state.intents.revision == 0:
         return _describe_missing_intents(state)
-    reported = max(
-        (
-            member.revision
-            for member in state.members.values()
-            if is_live(member, now, state.settings.heartbeat_s)
-        ),
-        default=0,
-    )
+    reported = _get_reported_revision(state, now)
     if reported > state.intents.revision:
         return f"routing intents of revision {reported}, which a peer reported"
     if state.settings.servers_register:
@@ -50,6 +53,27 @@
     return None
 
 
+def is_ready(state: HostState, now: float) -> bool:
+    """Return True if callers should be sent to this host.
+
+    A host that cannot follow its live peers for `MAX_BEHIND_S` is not ready until it
+    does. One that no peer is ahead of stays ready: all hosts may miss a change alike,
+    and callers need some of them.
+    """
+    if state.lifecycle is not Lifecycle.READY:
+        return False
+    return state.behind_since is None or now - state.behind_since < MAX_BEHIND_S
+
+
+def _get_reported_revision(state: HostState, now: float) -> int:
+    """Return the highest revision that live peers report."""
+    heartbeat_s = state.settings.heartbeat_s
+    return max(
+        (m.revision for m in state.members.values() if is_live(m, now, heartbeat_s)),
+        default=0,
+    )
+
+
 def handle_missing_intents(state: HostState) -> None:
     """Record that the platform reported no stored routing intents.
 
--- a/src/siskinpier/core/cluster/registry.py
+++ b/src/siskinpier/core/cluster/registry.py
@@ -18,6 +18,7 @@
 from ..state import HostState
 from .eras import exclude_departed, record_departed, record_new_era
 from .held_entries import hold_missing, merge_held, remove_expired_holds
+from .placement import LiveHost
 from .registered_leaving import LeavingSource, record_leaving, remove_outdated_flags
 from .registry_notices import hash_names, send_changes, send_servers_request
 from .views import list_live_hosts, rebuild_service, update_service_placement
@@ -154,19 +155,36 @@
 def update_services(
     state: HostState, names: Iterable[str], now: float, out: list[Effect]
 ) -> None:
-    """Rebuild the services whose registered servers changed."""
+    """Rebuild the services whose registered servers changed.
+
+    Raises an `ExceptionGroup` after unexpected errors; other services are rebuilt.
+    """
     hosts = list_live_hosts(state, now)
+    errors: list[Exception] = []
     for name in sorted(names):
-        old = state.services.get(name)
-        if old is None:
-            continue
-        service = rebuild_service(
-            state, merge_registered_servers(state, old.intent), old, now
-        )
-        state.services[name] = service
-        update_service_placement(state, service, hosts)
-        redispatch_blocked_calls(state, service, now, out)
-        dispatch_queued_calls(state, service, now, out)
+        try:
+            _update_service(state, name, hosts, now, out)
+        except Exception as exc:
+            errors.append(exc)
+        else:
+            state.registry.outdated_services.discard(name)
+    if errors:
+        raise ExceptionGroup("services were not rebuilt", errors)
+
+
+def _update_service(
+    state: HostState, name: str, hosts: list[LiveHost], now: float, out: list[Effect]
+) -> None:
+    old = state.services.get(name)
+    if old is None:
+        return
+    service = rebuild_service(
+        state, merge_registered_servers(state, old.intent), old, now
+    )
+    state.services[name] = service
+    update_service_placement(state, service, hosts)
+    redispatch_blocked_calls(state, service, now, out)
+    dispatch_queued_calls(state, service, now, out)
 
 
 def expire_held_servers(state: HostState, now: float, out: list[Effect]) -> None:
@@ -240,7 +258,9 @@
             status = "draining" if server.is_draining else "ready"
             _log_server(status, server, position, told_by, out)
     registry.position = position
-    update_services(state, changed_services, now, out)
+    # Services that an unexpected error kept from being rebuilt are tried again.
+    registry.outdated_services |= changed_services
+    update_services(state, tuple(registry.outdated_services), now, out)
 
 
 def _make_server(
--- a/src/siskinpier/core/configuration/updates.py
+++ b/src/siskinpier/core/configuration/updates.py
@@ -59,10 +59,16 @@
         return
     if state.intents.revision == 0:
         state.first_intents_at = now
+    previous = (state.intents, state.intents_version)
     state.intents = intents
     state.intents_version = version
     state.intents_known = True
-    _rebuild_services(state, now, out)
+    try:
+        _rebuild_services(state, now, out)
+    except Exception:
+        # Otherwise the same revision, read again, would count as in force.
+        state.intents, state.intents_version = previous
+        raise
     out.append(
         LogDecision(
             event="intents",
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -32,6 +32,18 @@
     call_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallFailed:
+    """An unexpected error occurred while an event of this call was handled.
+
+    With `has_reply`, the caller gets the complete reply all the same.
+    """
+
+    now: float
+    call_id: str
+    has_reply: bool = False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplyStarted:
     """The status and headers of a reply to an attempt arrived.
@@ -254,6 +266,7 @@
 Event = (
     CallArrived
     | CallCancelled
+    | CallFailed
     | ReplyStarted
     | ReplyFinished
     | AttemptFailed
--- a/src/siskinpier/core/problems.py
+++ b/src/siskinpier/core/problems.py
@@ -183,6 +183,17 @@
     )
 
 
+def make_internal_error(verdict: Verdict) -> Problem:
+    """Return the problem for a call that met an unexpected error of its host."""
+    return Problem(
+        status=503 if verdict is Verdict.NOT_RUN else 502,
+        title="Internal error",
+        detail="an unexpected error of the host ended the call",
+        verdict=verdict,
+        retry_after_s=RETRY_SOON_S,
+    )
+
+
 def make_quarantined(
     fingerprint: str, verdict: Verdict, retry_after_s: float
 ) -> Problem:
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -55,6 +55,7 @@
     AttemptFailed,
     CallArrived,
     CallCancelled,
+    CallFailed,
     Event,
     HostsListed,
     HostStarted,
@@ -94,7 +95,12 @@
     SlotRequest,
     SpareNotice,
 )
-from .routing.arrivals import expire_call, handle_call_arrived, handle_call_cancelled
+from .routing.arrivals import (
+    expire_call,
+    handle_call_arrived,
+    handle_call_cancelled,
+    handle_call_failed,
+)
 from .routing.dispatch import dispatch_queued_calls, handle_spare_notice
 from .routing.forwarding import handle_spare_notice_due
 from .routing.hedging import handle_hedge_due
@@ -146,6 +152,24 @@
 def reduce(state: HostState, event: Event) -> list[Effect]:
     """Apply one event to the state and return its effects in order."""
     out: list[Effect] = []
+    apply_event(state, event, out)
+    return out
+
+
+def apply_event(state: HostState, event: Event, out: list[Effect]) -> None:
+    """Apply one event to the state and append its effects in order.
+
+    After an unexpected error, `out` holds the effects of the part that was applied:
+    they must be carried out, as the state already counts on them.
+    """
+    try:
+        _apply(state, event, out)
+    finally:
+        update_claims(state, event, out)
+        state.history.record(out, event.now)
+
+
+def _apply(state: HostState, event: Event, out: list[Effect]) -> None:
     match event:
         case CallArrived():
             handle_call_arrived(state, event, out)
@@ -159,6 +183,8 @@
             handle_attempt_failed(state, event, out)
         case CallCancelled():
             handle_call_cancelled(state, event, out)
+        case CallFailed():
+            handle_call_failed(state, event, out)
         case TimerFired():
             _handle_timer(state, event, out)
         case MessageReceived():
@@ -210,9 +236,6 @@
             run_probing(state, now, out)
         case ShutdownRequested(now=now):
             start_shutdown(state, now, out)
-    update_claims(state, event, out)
-    state.history.record(out, event.now)
-    return out
 
 
 def _run_heartbeat(state: HostState, now: float, out: list[Effect]) -> None:
--- a/src/siskinpier/core/routing/arrivals.py
+++ b/src/siskinpier/core/routing/arrivals.py
@@ -5,10 +5,11 @@
 from ..claims.holder import has_valid_key, needs_claim, start_claim
 from ..configuration.intents import Route, get_rule
 from ..effects import CutReply, Effect, LogDecision, SetTimer
-from ..events import CallArrived, CallCancelled
+from ..events import CallArrived, CallCancelled, CallFailed
 from ..problems import (
     make_deadline_passed,
     make_host_stopped,
+    make_internal_error,
     make_key_invalid,
     make_no_server,
     make_not_ready,
@@ -165,6 +166,29 @@
         dispatch_queued_calls(state, service, event.now, out)
 
 
+def handle_call_failed(state: HostState, event: CallFailed, out: list[Effect]) -> None:
+    """End a call with its final answer after an unexpected error.
+
+    What is in flight may run, so only a call that was not sent can be called not run.
+    """
+    active = state.calls.get(event.call_id)
+    if active is None:
+        return
+    service = state.services.get(active.call.service)
+    verdict = active.worst_verdict
+    if active.has_been_sent() or active.stage is Stage.CLAIMING:
+        verdict = Verdict.MAY_HAVE_RUN
+    is_relaying = active.stage is Stage.RELAYING
+    cancel_attempts(state, active, out)
+    remove_call(state, active, out)
+    if is_relaying and not event.has_reply:
+        out.append(CutReply(call_id=event.call_id))
+    elif not event.has_reply:
+        refuse_call(active, make_internal_error(verdict), out)
+    if service is not None:
+        dispatch_queued_calls(state, service, event.now, out)
+
+
 def expire_call(state: HostState, call_id: str, now: float, out: list[Effect]) -> None:
     """End a call at its deadline, or refuse it at its limit on waiting for a slot."""
     active = state.calls.get(call_id)
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -31,6 +31,10 @@
 from .speeds import record_slow_period_effect
 
 SERVER_ERROR_STATUSES: Final = range(500, 600)
+# Failures that say nothing about the backend server.
+FAILURES_OF_THIS_HOST: Final = frozenset(
+    {AttemptFailure.NO_CONNECTION_FREE, AttemptFailure.INTERNAL}
+)
 
 
 def handle_reply_started(
@@ -151,7 +155,7 @@
         remove_call(state, active, out)
         refuse_call(active, make_attempt_failed(event.failure, verdict), out)
         return
-    if event.failure is not AttemptFailure.NO_CONNECTION_FREE:
+    if event.failure not in FAILURES_OF_THIS_HOST:
         record_attempt_failure(service, active.attempt, event.now, out, event.failure)
     if fall_back_to_other_attempt(service, active, active.attempt, out):
         record_verdict(active, verdict)
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -193,6 +193,8 @@
     departed: dict[str, DepartedServer] = field(default_factory=dict)
     # Servers that announced in a reply that they are leaving, by name.
     leaving: dict[str, LeavingRecord] = field(default_factory=dict)
+    # Services that do not have the servers above yet, after an unexpected error.
+    outdated_services: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -229,6 +231,8 @@
     started: float = 0.0
     # When the first routing intents were applied.
     first_intents_at: float = 0.0
+    # Since when live peers have newer routing intents; None if none has.
+    behind_since: float | None = None
     has_written_intents: bool = False
     watching: bool = False
     poll_delay_s: float = 0.0
--- a/src/siskinpier/core/verdict.py
+++ b/src/siskinpier/core/verdict.py
@@ -27,6 +27,8 @@
     TRUNCATED = "truncated"
     CANCELLED = "cancelled"
     CANCELLED_BEFORE_SEND = "cancelled-before-send"
+    # An unexpected error of this host, which says nothing about the server.
+    INTERNAL = "internal"
 
 
 _NOT_SENT_FAILURES = frozenset(
--- a/src/siskinpier/edge/callers.py
+++ b/src/siskinpier/edge/callers.py
@@ -119,10 +119,34 @@
             await self._run_instructions(exchange, connection, send)
         except ReplyAbortedError:
             connection.reset_connection()
+        except Exception as exc:
+            await self._end_failed_call(exchange, connection, send, exc)
         finally:
             connection.on_lost = None
             del shell.exchanges[call.call_id]
 
+    async def _end_failed_call(
+        self,
+        exchange: Exchange,
+        connection: CallerConnection,
+        send: Send,
+        exc: Exception,
+    ) -> None:
+        """Give a call its final answer after an unexpected error of its task."""
+        shell = self._shell
+        has_answer = exchange.instruction is not None
+        shell.fail_call(exchange.call_id, exc)
+        instruction = exchange.instruction
+        if has_answer or not isinstance(instruction, RefuseCall):
+            # Part of an answer may have been sent.
+            connection.reset_connection()
+            return
+        try:
+            await self._send_refusal(send, instruction.problem, exchange)
+        except Exception as failed:
+            shell.failures.record("task/refusal", failed)
+            connection.reset_connection()
+
     def _cancel_call(self, call_id: str) -> None:
         """Cancel a call whose caller disconnected."""
         shell = self._shell
--- a/src/siskinpier/edge/host.py
+++ b/src/siskinpier/edge/host.py
@@ -27,7 +27,9 @@
 from .operators import OperatorApp
 from .platform import PlatformClient
 from .platform_watch import poll_hosts, watch_intents
+from .server_loop import ServerLoop, serve_callers
 from .serving import (
+    close_all,
     handle_signals,
     install_failure_log,
     log_end,
@@ -37,6 +39,7 @@
 )
 from .shell import Shell
 from .sockets import HostSockets, bind_sockets, get_address, make_ready_line
+from .supervision import Loop, supervise
 from .tls import Certificate, make_certificate, watch_certificate_files
 
 # Time to write the last responses to their sockets when the host stops at once.
@@ -91,16 +94,16 @@
     try:
         async with anyio.create_task_group() as tasks:
             if certificate is not None:
-                tasks.start_soon(watch_certificate_files, certificate)
+                loop = partial(watch_certificate_files, certificate)
+                tasks.start_soon(supervise, "certificate", loop, shell.failures)
             await _serve(shell, platform, sockets, tasks, certificate)
             tasks.cancel_scope.cancel()
     except Exception as exc:
         shell.failures.record("host", exc)
         shell.failed_part = "host"
     finally:
-        with anyio.CancelScope(shield=True):
-            await backends.aclose()
-            await platform.aclose()
+        shell.close()
+        await close_all(shell.failures, backends.aclose, platform.aclose)
     return log_end(shell)
 
 
@@ -114,21 +117,31 @@
     settings = shell.settings
     shell.start(tasks)
     tune_garbage_collector()
-    tasks.start_soon(handle_signals, shell, _log_reload)
-    tasks.start_soon(shell.mesh.serve, sockets.peers, tasks)
-    caller_server = make_caller_server(shell, CallerApp(shell=shell), certificate)
+    loops: dict[str, Loop] = {
+        "signals": partial(handle_signals, shell, _log_reload),
+        "mesh": partial(shell.mesh.serve, sockets.peers, tasks),
+        "intents": partial(watch_intents, shell, platform),
+        "hosts": partial(poll_hosts, shell, platform),
+    }
+    app = CallerApp(shell=shell)
+    caller_loop = ServerLoop(
+        name="callers",
+        make_server=partial(make_caller_server, shell, app, certificate),
+        sockets=[sockets.callers],
+        failures=shell.failures,
+    )
     async with anyio.create_task_group() as servers:
-        servers.start_soon(_serve_operators, shell, sockets.operators, certificate)
-        servers.start_soon(caller_server.serve, [sockets.callers])
+        servers.start_soon(_run_operators, shell, sockets.operators, certificate)
+        servers.start_soon(serve_callers, shell, caller_loop)
         tasks.start_soon(_stop_at_once, shell, servers)
         shell.handle(HostStarted(now=shell.clock()))
-        tasks.start_soon(watch_intents, shell, platform)
-        tasks.start_soon(poll_hosts, shell, platform)
+        for name, loop in loops.items():
+            tasks.start_soon(supervise, name, loop, shell.failures)
         log_event("start", host=settings.name, callers=get_address(sockets.callers))
         await shell.stopped.wait()
         # Each server closes its idle connections and stops once its last responses
         # are written.
-        caller_server.should_exit = True
+        caller_loop.stop()
         servers.cancel_scope.deadline = anyio.current_time() + _get_remaining_s(shell)
 
 
@@ -165,12 +178,24 @@
         return None if self.certificate is None else self.certificate.server
 
 
+async def _run_operators(
+    shell: Shell, sock: socket.socket, certificate: Certificate | None
+) -> None:
+    """Serve operators until the host stops, also after a failure of their server."""
+
+    async def serve() -> None:
+        # The server closes its socket.
+        await _serve_operators(shell, sock.dup(), certificate)
+
+    await supervise("operators", serve, shell.failures, shell.stopped.is_set)
+
+
 async def _serve_operators(
     shell: Shell, sock: socket.socket, certificate: Certificate | None
 ) -> None:
     cfg = OperatorConfig()
     cfg.certificate = certificate
-    cfg.bind = [f"fd://{sock.fileno()}"]
+    cfg.bind = [f"fd://{sock.detach()}"]
     cfg.accesslog = None
     cfg.errorlog = None
     app = OperatorApp(shell=shell)
--- a/src/siskinpier/edge/mesh.py
+++ b/src/siskinpier/edge/mesh.py
@@ -19,8 +19,10 @@
 from websockets.asyncio.server import ServerConnection, serve
 
 from ..core.messages import Message
+from ..failures import FailureLog
 from ..logs import log_event
 from .codec import MESSAGE_LIMIT_BYTES, CodecError, decode_message, encode_message
+from .supervision import RestartDelay
 
 QUEUE_LIMIT_MESSAGES: Final = 256
 HANDSHAKE_TIMEOUT_S: Final = 2.0
@@ -67,7 +69,7 @@
                     self._mesh.handle_refusal(self.host)
                 await anyio.sleep(delay_s)
                 delay_s = min(MAX_RECONNECT_DELAY_S, delay_s * 2)
-                if self._is_idle():
+                if self.is_idle():
                     return
                 continue
             delay_s = MIN_RECONNECT_DELAY_S
@@ -80,7 +82,8 @@
                 with anyio.move_on_after(HANDSHAKE_TIMEOUT_S, shield=True):
                     await conn.close()
 
-    def _is_idle(self) -> bool:
+    def is_idle(self) -> bool:
+        """Return True if no message waits to be sent."""
         return not self._queue
 
     async def _send_queued(self, conn: websockets.ClientConnection) -> bool:
@@ -93,7 +96,7 @@
             self._wake = anyio.Event()
             with anyio.move_on_after(IDLE_TIMEOUT_S) as scope:
                 await self._wake.wait()
-            if scope.cancelled_caught and self._is_idle():
+            if scope.cancelled_caught and self.is_idle():
                 return True
 
 
@@ -105,6 +108,7 @@
         *,
         name: str,
         key: str,
+        failures: FailureLog,
         handle_message: MessageHandler,
         handle_refusal: RefusalHandler = lambda host: None,
     ) -> None:
@@ -113,34 +117,50 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self._key = key.encode()
+        self._failures = failures
         self._handle_message = handle_message
         self.handle_refusal = handle_refusal
         self._links: dict[str, MeshLink] = {}
         self._tasks: TaskGroup | None = None
+        self._is_closed = False
         # The message encoded last, and its bytes.
         self._encoded_message: Message | None = None
         self._encoded_data = b""
 
     async def serve(self, sock: socket.socket, tasks: TaskGroup) -> None:
-        """Accept connections of peers until cancelled."""
-        self._tasks = tasks
-        # The core may have sent messages before the server started.
-        for link in self._links.values():
-            tasks.start_soon(self._run_link, link)
+        """Accept connections of peers until cancelled.
+
+        `sock` stays open, so that this can be called again after an error.
+        """
+        self._start_links(tasks)
         async with serve(
             self._serve_peer,
-            sock=sock,
+            sock=sock.dup(),
             max_size=MESSAGE_LIMIT_BYTES,
             compression=None,
             open_timeout=HANDSHAKE_TIMEOUT_S,
         ):
             await anyio.sleep_forever()
 
+    def close(self) -> None:
+        """Drop all messages from now on."""
+        self._is_closed = True
+        self._tasks = None
+
+    def _start_links(self, tasks: TaskGroup) -> None:
+        """Run links from now on, also those of messages that were sent before."""
+        if self._tasks is None and not self._is_closed:
+            self._tasks = tasks
+            for link in self._links.values():
+                tasks.start_soon(self._run_link, link)
+
     def send(self, host: str, address: str, message: Message) -> None:
         """Queue a message for a peer; connect to it if there is no connection.
 
         An empty name accepts any host at the address that holds the key.
         """
+        if self._is_closed:
+            return
         key = host or address
         link = self._links.get(key)
         if link is None or link.address != address:
@@ -173,13 +193,24 @@
         return conn
 
     async def _run_link(self, link: MeshLink) -> None:
+        delay = RestartDelay()
         try:
-            await link.run()
+            while not await self._try_link(link):
+                await anyio.sleep(delay.get_next_s())
         finally:
             key = link.host or link.address
             if self._links.get(key) is link:
                 del self._links[key]
 
+    async def _try_link(self, link: MeshLink) -> bool:
+        """Run a link; return True if it has ended, False after an unexpected error."""
+        try:
+            await link.run()
+        except Exception as exc:
+            self._failures.record("link", exc)
+            return link.is_idle()
+        return True
+
     async def _authenticate_to_peer(
         self, conn: websockets.ClientConnection, host: str
     ) -> None:
@@ -208,7 +239,9 @@
         logged_reason = ""
         try:
             async for data in conn:
-                refusal = self._handle_data(peer, data)
+                refusal: CodecError | None = None
+                with self._failures.guard("peer-message"):
+                    refusal = self._handle_data(peer, data)
                 # A host of another version may send many messages of the same kind.
                 if refusal is not None and refusal.reason != logged_reason:
                     logged_reason = refusal.reason
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
 from functools import partial
 from typing import Any, Final
@@ -28,6 +28,8 @@
 GC_THRESHOLDS: Final = (20_000, 50, 100)
 # Time to receive requests on connections already accepted at shutdown, seconds.
 LAST_REQUESTS_WAIT_S: Final = 0.1
+# Time to close the connections of one client at the end of a host, seconds.
+CLOSE_TIMEOUT_S: Final = 0.2
 
 
 class CallerServer(uvicorn.Server):
@@ -67,6 +69,11 @@
             listener.close()
         return accepted
 
+    def close_listeners(self) -> None:
+        """Stop listening after a failure; connections stay open."""
+        for server in getattr(self, "servers", ()):
+            server.close()
+
     def _make_connection(self) -> asyncio.Protocol:
         """Return the protocol of a connection, constructed as uvicorn does."""
         return self.config.http_protocol_class(  # type: ignore[call-arg]
@@ -82,6 +89,18 @@
     handler.addFilter(LibraryErrors(failures))
 
 
+async def close_all(
+    failures: FailureLog, *functions: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    """Call functions that close something; one that fails or hangs stops no other."""
+    for function in functions:
+        with (
+            anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True),
+            failures.guard("close"),
+        ):
+            await function()
+
+
 def log_end(shell: Shell) -> ExitCode:
     """Log why a host ends, and return the exit code of its process."""
     part = shell.failed_part
@@ -127,7 +146,7 @@
 
 def make_caller_server(
     shell: Shell, app: Any, certificate: Certificate | None = None
-) -> uvicorn.Server:
+) -> CallerServer:
     """Return a server for callers; it stops when `should_exit` is set."""
     settings = shell.settings
     cfg = uvicorn.Config(
--- a/src/siskinpier/failures.py
+++ b/src/siskinpier/failures.py
@@ -5,7 +5,8 @@
 import re
 import time
 import traceback
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
@@ -111,6 +112,14 @@
             left_out=left_out,
         )
 
+    @contextmanager
+    def guard(self, where: str) -> Iterator[None]:
+        """Record an error of a step whose failure needs no other consequence."""
+        try:
+            yield
+        except Exception as exc:
+            self.record(where, exc)
+
     def handle_loop_error(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -61,6 +61,14 @@
         """Handle one request."""
         if scope["type"] != "http":
             return
+        try:
+            await self._serve_request(scope, receive, send)
+        except Exception as exc:
+            # A call answers its own errors, so this request was not passed on.
+            self._shell.failures.record("task/request", exc)
+            await _send_refusal(make_closing_send(send), 503, "internal error")
+
+    async def _serve_request(self, scope: Scope, receive: Receive, send: Send) -> None:
         if self._shell.state.lifecycle not in (Lifecycle.READY, Lifecycle.STARTING):
             send = make_closing_send(send)
         headers: Headers = list(scope["headers"])
@@ -172,7 +180,7 @@
             return
         match scope["path"]:
             case path if path == READINESS_PATH:
-                is_ready = self._shell.state.lifecycle is Lifecycle.READY
+                is_ready = self._shell.is_ready()
                 await send_bytes(send, 200 if is_ready else 503, [], b"")
             case path if path == ADDRESSES_PATH:
                 await self._send_addresses(scope, send)
--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -15,7 +15,9 @@
 from ..core.events import HostStarted
 from ..core.state import CoreSettings, HostIdentity, HostState, make_state
 from ..edge.backends import BackendClient
+from ..edge.server_loop import ServerLoop, serve_callers
 from ..edge.serving import (
+    close_all,
     handle_signals,
     install_failure_log,
     log_end,
@@ -25,6 +27,7 @@
 )
 from ..edge.shell import Shell
 from ..edge.sockets import make_listener
+from ..edge.supervision import Loop, supervise
 from ..exit_codes import ExitCode
 from ..log_writer import NonBlockingHandler
 from ..logs import configure_logging, log_event, log_warning
@@ -144,9 +147,8 @@
         shell.failures.record("host", exc)
         shell.failed_part = "host"
     finally:
-        with anyio.CancelScope(shield=True):
-            await backends.aclose()
-            await store.aclose()
+        shell.close()
+        await close_all(shell.failures, backends.aclose, store.aclose)
     return log_end(shell)
 
 
@@ -161,23 +163,43 @@
 ) -> None:
     callers, readiness, addresses, peers = sockets
     shell.start(tasks)
-    tasks.start_soon(handle_signals, shell, settings_watcher.reload_settings)
-    tasks.start_soon(settings_watcher.run)
-    tasks.start_soon(shell.mesh.serve, peers, tasks)
-    caller_server = make_caller_server(shell, PlatformCallerApp(shell=shell))
-    status_server = make_caller_server(shell, StatusApp(shell=shell))
+
+    def reload_settings() -> None:
+        # Without the loop that handles signals, the next one would end the host.
+        with shell.failures.guard("reload"):
+            settings_watcher.reload_settings()
+
+    loops: dict[str, Loop] = {
+        "signals": partial(handle_signals, shell, reload_settings),
+        "settings": settings_watcher.run,
+        "mesh": partial(shell.mesh.serve, peers, tasks),
+        "store-watcher": store_watcher.run,
+        "registration": registration.run,
+    }
+    caller_loop = ServerLoop(
+        name="callers",
+        make_server=partial(make_caller_server, shell, PlatformCallerApp(shell=shell)),
+        sockets=[callers],
+        failures=shell.failures,
+    )
+    status_loop = ServerLoop(
+        name="status",
+        make_server=partial(make_caller_server, shell, StatusApp(shell=shell)),
+        sockets=[readiness, addresses, *metrics],
+        failures=shell.failures,
+    )
     async with anyio.create_task_group() as servers:
-        tasks.start_soon(status_server.serve, [readiness, addresses, *metrics])
+        tasks.start_soon(status_loop.run)
         shell.handle(HostStarted(now=shell.clock()))
-        tasks.start_soon(store_watcher.run)
-        tasks.start_soon(registration.run)
+        for name, loop in loops.items():
+            tasks.start_soon(supervise, name, loop, shell.failures)
         tune_garbage_collector()
         log_event("start", host=shell.settings.name)
         with anyio.move_on_after(READY_WAIT_S):
             await shell.started.wait()
-        servers.start_soon(caller_server.serve, [callers])
+        servers.start_soon(serve_callers, shell, caller_loop)
         await shell.stopped.wait()
-        caller_server.should_exit = True
+        caller_loop.stop()
         servers.cancel_scope.deadline = anyio.current_time() + FLUSH_WAIT_S
 
 
--- a/src/siskinpier/platform/registration.py
+++ b/src/siskinpier/platform/registration.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ..core.events import HostsListed
+from ..core.events import HostsListed, ListedHost
 from ..core.platform_results import (
     StoredObject,
     Unavailable,
@@ -17,7 +17,7 @@
 from ..logs import log_event
 from .documents import Unreadable, decode_host, encode_host
 from .settings import AdapterSettings
-from .store import MAX_RETRY_DELAY_S, MIN_RETRY_DELAY_S, StoreClient
+from .store import MAX_RETRY_DELAY_S, MIN_RETRY_DELAY_S, StoreClient, StoreObject
 
 # Kind of objects that only hosts write: one object for each entry host.
 HOSTS_KIND: Final = "siskinpier-hosts"
@@ -59,7 +59,7 @@
             if isinstance(listed, Unavailable):
                 await anyio.sleep(MAX_RETRY_DELAY_S * random.uniform(0.5, 1.0))
                 continue
-            hosts = [decode_host(item.name, item.spec) for item in listed.items]
+            hosts = [self._decode_host(item) for item in listed.items]
             known = tuple(h for h in hosts if not isinstance(h, Unreadable))
             shell = self._shell
             shell.handle(HostsListed(now=shell.clock(), hosts=known))
@@ -75,6 +75,14 @@
             )
             await self._sleep_in_era(era, delay_s * random.uniform(0.8, 1.2))
 
+    def _decode_host(self, item: StoreObject) -> ListedHost | Unreadable:
+        """Decode one entry; an unexpected error costs this entry and no other."""
+        try:
+            return decode_host(item.name, item.spec)
+        except Exception as exc:
+            self._shell.failures.record("decode/host", exc)
+            return Unreadable(reason="unexpected error")
+
     def _get_era(self) -> int:
         """Return the latest era of the store known to this host or its relay."""
         return max(self._store.era, self._shell.state.registry.position.era)
--- a/src/siskinpier/platform/store_watcher.py
+++ b/src/siskinpier/platform/store_watcher.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from math import inf
-from typing import Any, Final
+from typing import Any, Final, TypeAlias
 
 import anyio
 
 from ..core.events import (
+    Event,
     IntentsSeen,
     PlatformLost,
     PlatformReached,
@@ -19,6 +20,7 @@
 from ..core.platform_results import Unavailable
 from ..core.positions import StorePosition
 from ..edge.shell import Shell
+from ..edge.supervision import supervise
 from ..logs import log_event, log_warning
 from .configuration import Configuration, decode_configuration, make_limit_settings
 from .documents import Unreadable, decode_server
@@ -53,6 +55,12 @@
 # Faults of one version of the configuration that are logged; the rest are counted.
 MAX_LOGGED_FAULTS: Final = 20
 
+WatchLoop: TypeAlias = Callable[[], Coroutine[Any, Any, Unavailable]]
+
+
+class EventFailedError(Exception):
+    """The core did not apply an event; the failure is recorded already."""
+
 
 class StoreWatcher:
     """Watches the store while the core requests it, and passes events to the core."""
@@ -65,6 +73,10 @@
         self._settings = settings
         self._unreadable_reasons: dict[str, str] = {}
         self._logged_revision = 0
+        self._watch_loops = {
+            "watch-configuration": self._watch_configuration,
+            "watch-servers": self._watch_servers,
+        }
         store.handle_new_era = self._handle_new_era
 
     async def run(self) -> None:
@@ -76,9 +88,11 @@
                 await shell.watch_changed.wait()
                 continue
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._keep_running, self._watch_configuration)
-                tasks.start_soon(self._keep_running, self._watch_servers)
-                tasks.start_soon(self._check_store)
+                for name, watch_loop in self._watch_loops.items():
+                    tasks.start_soon(self._keep_running, name, watch_loop)
+                tasks.start_soon(
+                    supervise, "store-check", self._check_store, shell.failures
+                )
                 await shell.watch_changed.wait()
                 tasks.cancel_scope.cancel()
 
@@ -87,15 +101,17 @@
         log_event("store-era", era=era, known=self._shell.state.registry.position.era)
         self._shell.watch_changed.set()
 
-    async def _keep_running(
-        self, watch_loop: Callable[[], Coroutine[Any, Any, Unavailable]]
-    ) -> None:
-        """Restart a watch loop after each failure, with growing delays in an outage."""
+    async def _keep_running(self, name: str, watch_loop: WatchLoop) -> None:
+        """Restart a watch loop after each failure, with growing delays in an outage.
+
+        The core is told of every failure, so that another host watches in place of one
+        that cannot.
+        """
         delay_s = MIN_RETRY_DELAY_S
         shell = self._shell
         while True:
             started_at = shell.clock()
-            failure = await watch_loop()
+            failure = await self._run_watch_loop(name, watch_loop)
             now = shell.clock()
             shell.handle(PlatformLost(now=now, reason=failure.reason))
             if now - started_at > MAX_RETRY_DELAY_S:
@@ -103,6 +119,24 @@
             await anyio.sleep(delay_s * random.uniform(0.5, 1.0))
             delay_s = min(MAX_RETRY_DELAY_S, delay_s * 2)
 
+    async def _run_watch_loop(self, name: str, watch_loop: WatchLoop) -> Unavailable:
+        """Run a watch loop until it fails, expectedly or not."""
+        try:
+            return await watch_loop()
+        except EventFailedError as exc:
+            return Unavailable(reason=str(exc))
+        except Exception as exc:
+            self._shell.failures.record(f"loop/{name}", exc)
+            return Unavailable(reason=f"unexpected error in {name}")
+
+    def _handle(self, event: Event) -> None:
+        """Pass an event to the core; raise `EventFailedError` if it was not applied.
+
+        What was read must be read again then, as no later change repeats it.
+        """
+        if not self._shell.handle(event):
+            raise EventFailedError(f"{type(event).__name__} was not applied")
+
     async def _watch_configuration(self) -> Unavailable:
         """Read the configuration and watch it; return the failure that ended this."""
         while True:
@@ -192,7 +226,7 @@
     def _report_reached(self) -> None:
         """Report to the core that the store answers."""
         shell = self._shell
-        shell.handle(PlatformReached(now=shell.clock()))
+        self._handle(PlatformReached(now=shell.clock()))
 
     def _handle_configuration_changes(self, result: ChangeList) -> None:
         for change in result.changes:
@@ -202,9 +236,10 @@
     def _handle_configuration(self, item: StoreObject) -> None:
         if item.name != CONFIGURATION_NAME:
             return
+        name = f"config/{item.name}"
         decoded = decode_configuration(item.spec, self._settings)
         if isinstance(decoded, Unreadable):
-            self._log_unreadable(f"config/{item.name}", decoded)
+            self._log_unreadable(name, decoded)
             return
         self._log_faults(decoded)
         shell = self._shell
@@ -215,12 +250,12 @@
         seen = IntentsSeen(
             now=shell.clock(), version=str(item.revision), intents=decoded.intents
         )
-        shell.handle(seen)
+        self._handle(seen)
 
     def _handle_server_list(self, listed: ObjectList) -> None:
         shell = self._shell
         servers = [self._decode_server(item) for item in listed.items]
-        shell.handle(
+        self._handle(
             ServersListed(
                 now=shell.clock(),
                 position=listed.position,
@@ -239,7 +274,7 @@
                 servers.append(server)
             else:
                 gone.append(name)
-        shell.handle(
+        self._handle(
             ServersChanged(
                 now=shell.clock(),
                 position=result.position,
@@ -249,9 +284,19 @@
         )
 
     def _decode_server(self, item: StoreObject) -> RegisteredServer | None:
-        decoded = decode_server(item.name, item.spec, item.status)
+        """Return the server of an entry, or None if the entry cannot be used.
+
+        After an unexpected error, the entry known before stays in use: this says
+        nothing about the server.
+        """
+        name = f"server/{item.name}"
+        try:
+            decoded = decode_server(item.name, item.spec, item.status)
+        except Exception as exc:
+            self._shell.failures.record("decode/server", exc)
+            return self._shell.state.registry.servers.get(item.name)
         if isinstance(decoded, Unreadable):
-            self._log_unreadable(f"server/{item.name}", decoded)
+            self._log_unreadable(name, decoded)
             return None
         return decoded
 
--- a/tests/standins/faulty_host.py
+++ b/tests/standins/faulty_host.py
@@ -2,7 +2,8 @@
 
 The environment names the function (`FAULT_PLACE`, as `module:Class.name`), how often it
 fails (`FAULT_TIMES`), and a file (`FAULT_FILE`): the function fails while the file
-exists, and each failure adds one byte to it.
+exists, and each failure adds one byte to it. `FAULT_TIMES` does not count if a file of
+the same name with the ending `.forever` exists.
 """
 
 import functools
@@ -28,7 +29,8 @@
     original: Callable[..., Any] = getattr(owner, name)
 
     def fail_if_due() -> None:
-        if path.exists() and path.stat().st_size < times:
+        is_endless = path.with_suffix(".forever").exists()
+        if path.exists() and (is_endless or path.stat().st_size < times):
             with path.open("ab") as file:
                 file.write(b".")
             raise InjectedError("two\nlines, token=abc123")
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -15,6 +15,7 @@
 from siskinpier.edge import mesh
 from siskinpier.edge.codec import encode_message
 from siskinpier.edge.mesh import Mesh
+from siskinpier.failures import FailureLog
 from tests.standins.process import HANG_TIMEOUT_S
 
 KEY: Final = "a-key-of-the-tests"
@@ -26,7 +27,10 @@
 
     def __init__(self, *, name: str, key: str = KEY, port: int = 0) -> None:
         self.received: list[tuple[str, Message]] = []
-        self.mesh = Mesh(name=name, key=key, handle_message=self._receive)
+        failures = FailureLog(count=lambda where: None)
+        self.mesh = Mesh(
+            name=name, key=key, failures=failures, handle_message=self._receive
+        )
         self.sock = socket.create_server(("127.0.0.1", port))
         self.sock.setblocking(False)
         self.port = int(self.sock.getsockname()[1])
