--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from contextlib import closing, contextmanager
 from functools import partial
 from typing import Any, Final
@@ -31,6 +31,8 @@
 LAST_REQUESTS_WAIT_S: Final = 0.1
 # Bytes read at once from the socket that signals write to, one each.
 WAKEUP_BYTES: Final = 4_096
+# Time to close the connections of one client at the end of a host, seconds.
+CLOSE_TIMEOUT_S: Final = 0.2
 
 
 class CallerServer(uvicorn.Server):
@@ -65,6 +67,11 @@
             server.close()
         return accepted
 
+    def close_listeners(self) -> None:
+        """Stop listening after a failure; connections stay open."""
+        for server in getattr(self, "servers", ()):
+            server.close()
+
     def _make_connection(self) -> asyncio.Protocol:
         """Return the protocol of a connection, constructed as uvicorn does."""
         return self.config.http_protocol_class(  # type: ignore[call-arg]
@@ -96,6 +103,18 @@
     handler.addFilter(LibraryErrors(failures))
 
 
+async def close_all(
+    failures: FailureLog, *functions: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    """Call functions that close something; one that fails or hangs stops no other."""
+    for function in functions:
+        with (
+            anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True),
+            failures.guard("close"),
+        ):
+            await function()
+
+
 def log_end(shell: Shell) -> ExitCode:
     """Log why a host ends, and return the exit code of its process."""
     part = shell.failed_part
@@ -194,7 +213,7 @@
     certificate: Certificate | None = None,
     *,
     memory: RequestMemory | None = None,
-) -> uvicorn.Server:
+) -> CallerServer:
     """Return a server for callers; it stops when `should_exit` is set.
 
     `memory` is that of all requests together, for an app that refuses those for which
