Follow renamed functions in the tests of contained failures

One place, the rebuilding of a service, was reached by chance only: the entry of a server was stored again without a change. The test now changes its slots each time, so that each place must be reached.

--- a/tests/test_contained_failures.py
+++ b/tests/test_contained_failures.py
@@ -36,13 +36,13 @@
     f"{PLATFORM}.registration:HostRegistration._is_alone",
     f"{PLATFORM}.store:StoreClient.list_all",
     f"{PLATFORM}.store:StoreClient.watch",
-    f"{PLATFORM}.store:StoreClient.check_reachable",
+    f"{PLATFORM}.store:StoreClient.read_position",
     f"{PLATFORM}.store_watcher:StoreWatcher._watch",
     f"{PLATFORM}.store_watcher:StoreWatcher._report_reached",
     f"{PLATFORM}.store_watcher:StoreWatcher._handle_configuration",
     f"{PLATFORM}.store_watcher:StoreWatcher._handle_server_list",
     f"{PLATFORM}.store_watcher:StoreWatcher._handle_server_changes",
-    f"{PLATFORM}.reload:SettingsWatcher._read",
+    f"{PLATFORM}.reload:SettingsWatcher._decode",
     f"{EDGE}.serving:CallerServer.on_tick",
     # What others write.
     f"{PLATFORM}.store_watcher:decode_configuration",
@@ -146,10 +146,12 @@
         self.send("/search/")
         self.change_configuration("/changed/")
         first = self.deployment.store.objects["servers", "i-1"]["spec"]["address"]
-        self.deployment.store.put("servers", "i-1", make_entry(first))
-        host.child.send_signal(signal.SIGHUP)
         self._uses += 1
-        if self._uses % 2 == 0:
+        entry = make_entry(first)
+        entry["info"]["slots"] += self._uses % 2
+        self.deployment.store.put("servers", "i-1", entry)
+        host.child.send_signal(signal.SIGHUP)
+        if self._uses % 4 == 0:
             self.deployment.store.drop_history()
         self.get_metrics()
         return self.has_failed()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -182,7 +182,12 @@
 
     def __init__(self, *, sends_to: Peer) -> None:
         self.peer = Peer(name="two")
-        self.peer.mesh = Mesh(name="two", key=KEY, handle_message=self._freeze)
+        self.peer.mesh = Mesh(
+            name="two",
+            key=KEY,
+            failures=FailureLog(count=lambda where: None),
+            handle_message=self._freeze,
+        )
         self.frozen = threading.Event()
         self.thawed = threading.Event()
         self._sends_to = sends_to
