--- a/soak/host.py
+++ b/soak/host.py
@@ -22,6 +22,9 @@
 if __name__ == "__main__":
     shift_clock(float(os.environ.get(CLOCK_VARIABLE, "0")))
     if name := os.environ.get(PLANTED_VARIABLE, ""):
+        from siskinpier.signals import SIGNALS
+
+        SIGNALS.open()
         from .planted import plant
 
         plant(name)
