--- a/src/siskinpier/platform/store_objects.py
+++ b/src/siskinpier/platform/store_objects.py
@@ -23,6 +23,10 @@
 # Of a larger object, only the metadata is decoded, unless it is the configuration: no
 # entry of a backend server or host is this large.
 MAX_ENTRY_BYTES: Final = 16_384
+# No entry is used whose name is longer, or has characters behind the tilde.
+MAX_NAME_CHARS: Final = 200
+_NAME_START: Final = re.compile(r"[\x00-~]{0,200}")
+LAST_CHARACTER: Final = "\U0010ffff"
 # Exact in every JSON decoder.
 MAX_REVISION: Final = 2**53
 # Unreadable objects of one answer that are logged; the rest are counted.
@@ -36,6 +40,9 @@
 )
 
 
+_METADATA_KEY: Final = b'"metadata"'
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreObject:
     """An object in the store; `revision` is the revision of its last change.
@@ -98,11 +105,11 @@
     def __init__(self) -> None:
         self._count = 0
 
-    def add(self, name: object, **fields: object) -> None:
+    def add(self, name: str, **fields: object) -> None:
         """Log an object."""
         self._count += 1
         if self._count <= MAX_LOGGED_OBJECTS:
-            log_warning("object-unreadable", name=_shorten(name), **fields)
+            log_warning("object-unreadable", name=name, **fields)
 
     def end(self) -> None:
         """Log how many objects were left out."""
@@ -129,7 +136,7 @@
         revision=answer.revision,
         items=items,
         has_more=bool(answer.has_more),
-        last_name=items[-1].name if items else None,
+        last_name=_get_last_name(answer.items, items),
     )
 
 
@@ -157,6 +164,21 @@
     return ChangeList(position=position, changes=tuple(changes))
 
 
+def _get_last_name(rows: list[Raw], items: Iterable[StoreObject]) -> str | None:
+    """Return a name that a request can hold, after which the next page begins.
+
+    If a page has none, it is one that sorts behind the page's last name, and before all
+    later names of entries that are used.
+    """
+    short = [item.name for item in items if len(item.name) <= MAX_NAME_CHARS]
+    if short:
+        return short[-1]
+    metadata = _decode_metadata(bytes(rows[-1])) if rows else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    found = _NAME_START.match(name) if isinstance(name, str) else None
+    return None if found is None else f"{found[0]}{LAST_CHARACTER}"
+
+
 def decode_object(kind: str, content: bytes) -> StoreObject | None:
     """Return a single object; None, logged, if its name or revision is invalid."""
     return _make_object(_decode_row(kind, content), _UnreadableLog())
@@ -179,12 +201,27 @@
     if len(content) <= MAX_ENTRY_BYTES or _is_configuration(kind, metadata):
         try:
             document = decode_json(content)
-            return document if isinstance(document, dict) else {}
         except ValueError:
-            metadata = _decode_metadata(content)
+            document = None
+        if isinstance(document, dict) and not _has_second_metadata(content, document):
+            return document
+        metadata = _decode_metadata(content)
     return {"metadata": metadata}
 
 
+def _has_second_metadata(content: bytes, document: dict[str, Any]) -> bool:
+    """Return True if a damaged value repeats the metadata or object of its entry.
+
+    Decoders take the last one, which may be the name of another entry.
+    """
+    found = _METADATA.match(content)
+    if found is None or content.count(_METADATA_KEY) == 1:
+        return False
+    item = document.get("object", document)
+    metadata = item.get("metadata") if isinstance(item, dict) else None
+    return bool(metadata != _decode_metadata(content))
+
+
 def _is_configuration(kind: str, metadata: Any) -> bool:
     return (
         kind == CONFIGURATION_KIND
@@ -217,10 +254,10 @@
         metadata = {}
     name, revision = metadata.get("name"), metadata.get("revision")
     if not isinstance(name, str) or not is_readable(name):
-        log.add(name)
+        log.add(reprlib.repr(name))
         return None
     if not _is_revision(revision):
-        log.add(name, revision=reprlib.repr(revision))
+        log.add(name[:MAX_LOGGED_CHARS], revision=reprlib.repr(revision))
         return None
     return StoreObject(
         name=name,
@@ -235,7 +272,3 @@
     if not isinstance(value, int) or isinstance(value, bool):
         return False
     return 0 <= value <= MAX_REVISION
-
-
-def _shorten(name: object) -> str:
-    return name[:MAX_LOGGED_CHARS] if isinstance(name, str) else reprlib.repr(name)
--- a/tests/test_damaged_entries.py
+++ b/tests/test_damaged_entries.py
@@ -16,6 +16,7 @@
 from siskinpier.core.platform_results import Unavailable
 from siskinpier.core.positions import StorePosition
 from siskinpier.platform.documents import decode_server
+from siskinpier.platform.json_documents import decode_json
 from siskinpier.platform.store import ObjectList, StoreClient
 from siskinpier.platform.store_objects import ChangeList, StoreObject
 from tests.standins.platform_host import make_entry
@@ -64,6 +65,9 @@
     "rows": b'[{"metadata":{"name":"x"}},{"metadata":{"name":"y"}}',
     "second list": b'1}],"items":[],"events":[],"x":[{"y":1',
     "second list one deeper": b'1}}],"items":[],"events":[],"x":[{"y":{"z":1',
+    "second metadata": b'1},"metadata":{"name":"a","revision":13},"x":{"y":1',
+    "metadata one deeper": b'1}},"metadata":{"name":"a","revision":13},"x":{"y":{"z":1',
+    "second object": b'1}},"object":{"metadata":{"name":"a","revision":13},"y":{"z":1',
     "end of the answer": b'1}}],"hasMore":false,"storeRevision":1}',
     "megabyte": b'"' + b"x" * 1_048_576 + b'"',
     "megabyte of control characters": b'"' + b"\x01" * 1_048_576 + b'"',
@@ -261,12 +265,52 @@
         assert isinstance(asyncio.run(run()), Unavailable)
 
 
+ODD_NAMES: Final = {
+    "not UTF-8": b"b\xff",
+    "surrogate": b"b\\ud800",
+    "first": b"\xff",
+    "long": b"b" * 10_000,
+    "long and control character": b"\\u0000" + b"x" * 300,
+    "slashes": b"../b/%2e?after=a&b#c",
+    "control character": b"b\\u0000\\n",
+    "space": b" ",
+    "empty": b"",
+    "other case": b"A",
+    "not normalised": b"a\xcc\x81",
+    "beyond the plane": b"b\xf0\x9f\x98\x80",
+}
+
+
+class TestOddNames:
+    """A list goes on behind an entry whose name no request can hold."""
+
+    @pytest.mark.parametrize("page_rows", [1, 2])
+    @pytest.mark.parametrize("name", ODD_NAMES)
+    def test_alone_on_a_page(self, name: str, page_rows: int) -> None:
+        def respond(params: Query) -> bytes:
+            # As sorted by a store in which text is a list of code points.
+            left = [rows[key] for key in sorted(rows) if key > params.get("after", "")]
+            page = make_list(left[:page_rows], has_more=len(left) > page_rows)
+            return make_reply(page)
+
+        async def run() -> None:
+            async with run_raw_store(store) as client:
+                await check_list(client, name)
+
+        odd = b'{"metadata":{"name":"%b","revision":1},"spec":{}}' % ODD_NAMES[name]
+        key = decode_json(odd)["metadata"]["name"]
+        rows = {good: make_row(good) for good in GOOD} | {key: odd}
+        store = RawStore(respond)
+        asyncio.run(run())
+        assert all(len(query.get("after", "")) <= 201 for query in store.queries)
+
+
 class TestHosts:
     """Hosts follow the store while damaged entries stand in it."""
 
     def test_hosts_go_on(self, tmp_path: Path) -> None:
         with run_pair(tmp_path) as pair:
-            values = {f"@{n}@": v for n, v in VALUES.items() if len(v) < 20_000}
+            values = {f"@{name}@": value for name, value in VALUES.items()}
             pair.store.replacements = {
                 json.dumps(mark).encode(): value for mark, value in values.items()
             }
