Let no timeout of the store's client decide tests of its answers

The timeouts are a value of the client now, with the same figures for hosts; these tests give the time after which a test counts as hanging, as the stand-in answers or closes every call. What the tests require is unchanged, and large pages no longer depend on 1.5 s.

--- a/src/siskinpier/platform/store.py
+++ b/src/siskinpier/platform/store.py
@@ -37,13 +37,9 @@
     decode_page,
 )
 
-CONNECT_TIMEOUT_S: Final = 0.5
-CALL_TIMEOUT_S: Final = 1.5
 # First and longest delay before a call is retried after a failure, seconds.
 MIN_RETRY_DELAY_S: Final = 0.3
 MAX_RETRY_DELAY_S: Final = 1.0
-# How much longer than its wait time a watch may take to respond, seconds.
-WATCH_GRACE_S: Final = 1.0
 MAX_LIST_PAGES: Final = 100
 # A page of a list holds about a megabyte, or one object of that size, of which each
 # byte may be written as an escape of six.
@@ -60,6 +56,18 @@
 EARLIER_ERA: Final = "an answer of an earlier era of the store"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreTimeouts:
+    """Timeouts of calls, seconds.
+
+    `watch_grace` is how much longer than its wait time a watch may take to respond.
+    """
+
+    connect: float = 0.5
+    call: float = 1.5
+    watch_grace: float = 1.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectList:
     """All objects of a kind, and the position from which a watch continues."""
@@ -88,10 +96,13 @@
     of the store. `handle_new_era` is called when the era rises.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self, *, address: str, timeouts: StoreTimeouts = StoreTimeouts()
+    ) -> None:
         self.calls: Counter[str] = Counter()
         self.era = UNKNOWN_ERA
         self.handle_new_era: Callable[[int], None] = lambda era: None
+        self._timeouts = timeouts
         self._root = f"http://{address}/api/objects"
         self._session: aiohttp.ClientSession | None = None
 
@@ -102,7 +113,7 @@
         connector._factory = partial(StrictResponseHandler, loop=loop)  # type: ignore[assignment]
         self._session = aiohttp.ClientSession(
             connector=connector,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            timeout=aiohttp.ClientTimeout(total=None),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         # A write that aiohttp sends again could take effect twice.
@@ -156,7 +167,7 @@
             "GET",
             self._path(kind),
             params=params,
-            timeout_s=wait_s + WATCH_GRACE_S,
+            timeout_s=wait_s + self._timeouts.watch_grace,
         )
         if isinstance(response, Unavailable | WriteOutcomeUnknown):
             return Unavailable(reason=response.reason)
@@ -250,13 +261,16 @@
         *,
         params: dict[str, str] | None = None,
         body: object = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> _Response | Unavailable | WriteOutcomeUnknown:
         """Return the response, or `WriteOutcomeUnknown` if the call may have run."""
         self.calls[call_kind] += 1
         if self._session is None:
             return Unavailable(reason="closed")
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(
+            total=self._timeouts.call if timeout_s is None else timeout_s,
+            sock_connect=self._timeouts.connect,
+        )
         try:
             async with self._session.request(
                 method,
--- a/tests/standins/raw_store.py
+++ b/tests/standins/raw_store.py
@@ -10,9 +10,15 @@
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
 
-from siskinpier.platform.store import StoreClient
+from siskinpier.platform.store import StoreClient, StoreTimeouts
+
+from .process import HANG_TIMEOUT_S
 
 REQUEST_END: Final = b"\r\n\r\n"
+# The stand-in answers every call, so that a timeout only ends a test that hangs.
+TIMEOUTS: Final = StoreTimeouts(
+    connect=HANG_TIMEOUT_S, call=HANG_TIMEOUT_S, watch_grace=HANG_TIMEOUT_S
+)
 Query = dict[str, str]
 
 
@@ -67,7 +73,7 @@
     """Serve a stand-in on a loopback port; return a client of it."""
     server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    client = StoreClient(address=f"127.0.0.1:{port}")
+    client = StoreClient(address=f"127.0.0.1:{port}", timeouts=TIMEOUTS)
     await client.open()
     try:
         yield client
