--- a/deploy/build_deps.py
+++ b/deploy/build_deps.py
@@ -42,14 +42,21 @@
 
 def main() -> None:
     """Build `target/deps` unless it is complete and up to date."""
-    BUILDS.mkdir(parents=True, exist_ok=True)
     try:
+        if is_up_to_date():
+            return
+        BUILDS.mkdir(parents=True, exist_ok=True)
         with lock_builds():
             build()
     except (BuildError, OSError, subprocess.CalledProcessError) as exc:
         raise SystemExit(f"deploy/build: {exc}") from exc
 
 
+def is_up_to_date() -> bool:
+    """Return True if the current build can be used; nothing is written then."""
+    return DEPS.is_symlink() and DEPS.exists() and find_fault(DEPS.resolve()) is None
+
+
 @contextmanager
 def lock_builds() -> Iterator[None]:
     """Wait for other builds; the lock ends with the process that holds it."""
--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -247,6 +247,17 @@
         assert built.build(PIP_MODE="fail") == 0
         assert built.count_installs() == 1
 
+    def test_folder_that_cannot_be_written_is_used_if_it_is_current(
+        self, built: Repository
+    ) -> None:
+        lock = built.root / "target" / "build.lock"
+        lock.unlink()
+        lock.mkdir()
+        assert built.build() == 0
+        built.set_source("second")
+        assert built.build() != 0
+        assert built.run_program() == "first 1.0"
+
     def test_no_install_if_only_the_source_changed(self, built: Repository) -> None:
         built.set_source("second")
         assert built.build(PIP_MODE="fail") == 0
