Do not let a cancellation that a task only meets end the host

A host ended with exit code 0, reason 'asked' and no line of a failure where one of its tasks waited for a future that somebody else cancelled: the task group takes that for its own cancellation and ends all tasks without an error. No code of ours cancels such a future; a library could.

--- a/src/siskinpier/edge/mesh.py
+++ b/src/siskinpier/edge/mesh.py
@@ -21,6 +21,7 @@
 from ..core.messages import Message
 from ..failures import FailureLog
 from ..logs import log_event
+from .cancellation import unasked_cancellation_as_error
 from .codec import MESSAGE_LIMIT_BYTES, CodecError, decode_message, encode_message
 from .supervision import RestartDelay
 
@@ -210,7 +211,8 @@
     async def _try_link(self, link: MeshLink) -> bool:
         """Run a link; return True if it has ended, False after an unexpected error."""
         try:
-            await link.run()
+            with unasked_cancellation_as_error():
+                await link.run()
         except Exception as exc:
             self._failures.record("link", exc)
             return link.is_idle()
--- a/src/siskinpier/edge/serving.py
+++ b/src/siskinpier/edge/serving.py
@@ -117,7 +117,7 @@
 
 def log_end(shell: Shell) -> ExitCode:
     """Log why a host ends, and return the exit code of its process."""
-    part = shell.failed_part
+    part = shell.failed_part or ("" if shell.stopped.is_set() else "host")
     code = ExitCode.INTERNAL if part else ExitCode.OK
     log_event(
         "end",
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -65,6 +65,7 @@
 from ..metrics import HostMetrics
 from ..settings.host import HostSettings
 from .backends import AttemptError, BackendClient
+from .cancellation import unasked_cancellation_as_error
 from .exchange import AbortReply, Exchange
 from .failed_events import (
     INTERNAL_ERROR,
@@ -426,7 +427,8 @@
     async def _run_task(self, function: EffectTask[_EffectT], effect: _EffectT) -> None:
         """Run the task of an effect; report its failure as the result of the effect."""
         try:
-            await function(effect)
+            with unasked_cancellation_as_error():
+                await function(effect)
         except Exception as exc:
             self.failures.record(f"task/{type(effect).__name__}", exc)
             if isinstance(effect, SendAttempt):
--- a/src/siskinpier/edge/supervision.py
+++ b/src/siskinpier/edge/supervision.py
@@ -16,6 +16,7 @@
 import anyio
 
 from ..failures import FailureLog
+from .cancellation import unasked_cancellation_as_error
 
 MIN_RESTART_DELAY_S: Final = 0.2
 MAX_RESTART_DELAY_S: Final = 5.0
@@ -74,7 +75,8 @@
 async def _run_until_it_ends(name: str, loop: Loop) -> Exception:
     """Return the error that ended a loop."""
     try:
-        await loop()
+        with unasked_cancellation_as_error():
+            await loop()
     except Exception as exc:
         return exc
     return UnexpectedReturnError(f"{name} returned")
--- a/src/siskinpier/platform/store_watcher.py
+++ b/src/siskinpier/platform/store_watcher.py
@@ -19,6 +19,7 @@
 from ..core.messages import RegisteredServer
 from ..core.platform_results import Unavailable
 from ..core.positions import StorePosition
+from ..edge.cancellation import unasked_cancellation_as_error
 from ..edge.shell import Shell
 from ..edge.supervision import supervise
 from ..logs import log_event, log_warning
@@ -144,7 +145,8 @@
     async def _run_watch_loop(self, name: str, watch_loop: WatchLoop) -> Unavailable:
         """Run a watch loop until it fails, expectedly or not."""
         try:
-            return await watch_loop()
+            with unasked_cancellation_as_error():
+                return await watch_loop()
         except EventFailedError as exc:
             return Unavailable(reason=str(exc))
         except Exception as exc:
