Count sockets as served only once a server has them

If the replacement of a failed server failed too, for want of descriptors for example, the host said that it served and was ready, and tried the failed server again on closed sockets. The replacement is tried again after a delay now, and nothing is told before. Found in review.

--- a/src/siskinpier/edge/server_loop.py
+++ b/src/siskinpier/edge/server_loop.py
@@ -7,6 +7,7 @@
 import anyio
 
 from ..failures import FailureLog
+from .cancellation import unasked_cancellation_as_error
 from .serving import CallerServer
 from .shell import Shell
 from .supervision import RestartDelay, UnexpectedReturnError
@@ -69,20 +70,30 @@
             if max_failures is not None and failures_in_a_row >= max_failures:
                 return False
             await anyio.sleep(delay.get_next_s())
+            while not self._is_stopping and not self._try_replace_server():
+                await anyio.sleep(delay.get_next_s())
             if self._is_stopping:
                 return True
-            with self._failures.guard(f"loop/{self._name}"):
-                self._replace_server()
             set_serving(True)
 
     async def _serve(self) -> Exception:
         """Serve until the server ends, and return why it did."""
         try:
-            await self._server.serve(self._sockets)
+            with unasked_cancellation_as_error():
+                await self._server.serve(self._sockets)
         except Exception as exc:
             return exc
         return UnexpectedReturnError(f"{self._name} returned")
 
+    def _try_replace_server(self) -> bool:
+        """Replace the server; return False after an error, such as no descriptors."""
+        try:
+            self._replace_server()
+        except Exception as exc:
+            self._failures.record(f"loop/{self._name}", exc)
+            return False
+        return True
+
     def _replace_server(self) -> None:
         """Take a new server for the same sockets and the connections of the old one."""
         failed = self._server
