Let no write to standard error hold a host that cannot start

With standard error alone a full pipe that nobody reads, a host that could not start never ended: the line of the refusal waited for the reader, and SIGTERM was kept but not handled. Standard error is not waited for any more, nor by the traceback of a crash.

--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -41,7 +41,11 @@
     SecuritySettings,
     ShutdownSettings,
 )
-from ..standard_streams import open_standard_descriptors, write_error_line
+from ..standard_streams import (
+    open_standard_descriptors,
+    unblock_standard_error,
+    write_error_line,
+)
 from .callers import PlatformCallerApp, StatusApp
 from .headers import REQUEST_ID_HEADER, PlatformHeaderAdapter
 from .registration import HostRegistration
@@ -93,6 +97,7 @@
         code = _start_and_run(path, writer)
     except Exception as exc:
         log_warning("crash", error=describe_error(exc), trace=describe_trace(exc))
+        unblock_standard_error()
         raise
     finally:
         log_event("exit", code=int(code))
--- a/src/siskinpier/standard_streams.py
+++ b/src/siskinpier/standard_streams.py
@@ -24,10 +24,16 @@
     return STDERR_FD if is_stderr_alone else STDOUT_FD
 
 
+def unblock_standard_error() -> None:
+    """Let no write to standard error wait for its reader; raises `OSError`."""
+    os.set_blocking(STDERR_FD, False)
+
+
 def write_error_line(text: str) -> None:
     """Write a line to standard error, if it takes one now."""
     # The same text is in the log.
     with contextlib.suppress(OSError):
+        unblock_standard_error()
         os.write(STDERR_FD, f"{text}\n".encode("utf-8", "replace"))
 
 
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -595,6 +595,26 @@
     return fd
 
 
+class TestStandardErrorAlone:
+    """A host never waits for the reader of its standard error."""
+
+    def test_refused_start_ends_although_standard_error_is_full(
+        self, tmp_path: Path
+    ) -> None:
+        with ExitStack() as opened:
+            reader, writer = os.pipe()
+            opened.callback(os.close, reader)
+            opened.callback(os.close, writer)
+            os.set_blocking(writer, False)
+            fill_pipe(writer)
+            os.set_blocking(writer, True)
+            environ = {"SISKINPIER_BOOT": ""}
+            host = opened.enter_context(
+                StartedHost(folder=tmp_path, text=None, environ=environ, stderr=writer)
+            )
+            assert host.wait_exit() == ExitCode.BAD_INPUT
+
+
 FEW_DESCRIPTORS = 20
 
 
