Promise nothing of a request whose task failed in an unknown place

The answer was 503, which promises that the request has not run. A call answers its own errors, but if that fails too the error comes up here, and the request may have been passed on. It is 502 now. Found in review by reading; no run shows the case.

--- a/src/siskinpier/platform/callers.py
+++ b/src/siskinpier/platform/callers.py
@@ -70,9 +70,9 @@
         try:
             await self._serve_request(scope, receive, send)
         except Exception as exc:
-            # A call answers its own errors, so this request was not passed on.
+            # Where it happened is not known, so nothing is promised.
             self._shell.failures.record("task/request", exc)
-            await _send_refusal(make_closing_send(send), 503, "internal error")
+            await _send_refusal(make_closing_send(send), 502, "internal error")
 
     async def _serve_request(self, scope: Scope, receive: Receive, send: Send) -> None:
         if self._shell.state.lifecycle not in (Lifecycle.READY, Lifecycle.STARTING):
