Excuse an early signal in the soak only before the host has begun

One SIGHUP in the first 0.1 s of processor time excused every later end by SIGHUP of that process, so that ends at a stop could pass. A process that has logged its first line is not excused any more.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -31,6 +31,8 @@
 # The only variables of its parent that the platform passes to a process.
 PASSED_VARIABLES: Final = ("PATH", "HOME", "LANG")
 PROGRAM: Final = "siskinpier.platform"
+# Logged by a host once its own code handles signals.
+BOOT_EVENT: Final = b"event=boot "
 # Settings that a host can do without.
 SPARE_SETTINGS: Final = {
     "internalPortRange": "7620,7635",
@@ -112,6 +114,8 @@
         self._settings_number = 0
         # Signals sent before the process could handle any.
         self._early_signals: set[int] = set()
+        # Size of the log at the last start, bytes.
+        self._log_offset = 0
         # File descriptor that the process logs to instead of its log file.
         self.output: int | None = None
         self.write_settings()
@@ -152,6 +156,7 @@
         self.start_count += 1
         self.is_stopping = False
         self._early_signals = set()
+        self._log_offset = self._log.stat().st_size if self._log.exists() else 0
         command, extra = make_command(), {}
         if clock_offset_s or self.config.planted:
             command = make_command("soak.host")
@@ -187,7 +192,16 @@
 
     def was_ended_early(self) -> bool:
         """Return True if a signal ended the process before it could handle any."""
-        return -(self.get_exit_code() or 0) in self._early_signals
+        is_early = -(self.get_exit_code() or 0) in self._early_signals
+        return is_early and not self.has_booted()
+
+    def has_booted(self) -> bool:
+        """Return True if the process has logged that it began, since its start."""
+        if self.output is not None or not self._log.exists():
+            return False
+        with self._log.open("rb") as log:
+            log.seek(self._log_offset)
+            return BOOT_EVENT in log.read()
 
     def get_exit_code(self) -> int | None:
         """Return the exit code, or None if the process runs or was never started."""
