--- a/src/siskinpier/platform/store_objects.py
+++ b/src/siskinpier/platform/store_objects.py
@@ -39,7 +39,6 @@
     rb'"metadata"\s*:\s*(\{[^{}]{0,4096}\})'
 )
 
-
 _METADATA_KEY: Final = b'"metadata"'
 
 
--- a/src/siskinpier/platform/store_watcher.py
+++ b/src/siskinpier/platform/store_watcher.py
@@ -58,7 +58,7 @@
 CHECK_TIMEOUT_S: Final = 0.45
 # How long a watch may be behind the store before its changes are read, seconds: longer
 # than its answer takes, and changes of other kinds count too.
-MAX_BEHIND_S: Final = 0.8
+MAX_WATCH_LAG_S: Final = 0.8
 # Time from the start of an era until every live server has written its entry again,
 # seconds: three of their heartbeats.
 ERA_RELIST_DELAY_S: Final = 5.0
@@ -274,14 +274,14 @@
                     await self._read_missed_changes(kind, progress)
 
     def _is_behind(self, progress: WatchProgress, position: StorePosition) -> bool:
-        """Return True if a watch has been behind the store for `MAX_BEHIND_S`."""
+        """Return True if a watch has been behind the store for `MAX_WATCH_LAG_S`."""
         if position <= progress.position:
             progress.behind_since = None
             return False
         now = self._shell.clock()
         if progress.behind_since is None:
             progress.behind_since = now
-        return now - progress.behind_since >= MAX_BEHIND_S
+        return now - progress.behind_since >= MAX_WATCH_LAG_S
 
     async def _read_missed_changes(self, kind: str, progress: WatchProgress) -> None:
         """Restart the watches if the answer to one was lost.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,9 +18,11 @@
 from siskinpier.core.verdict import Verdict, get_failure_verdict
 from siskinpier.edge.backends import AttemptError, BackendClient
 from siskinpier.edge.response_handler import StrictResponseHandler
-from siskinpier.platform.store import MAX_RESPONSE_BYTES, StoreClient
+from siskinpier.platform.store import StoreClient
 from tests.standins.process import HANG_TIMEOUT_S
 
+# Six bytes for each of the largest object of the store, and a page of two megabytes.
+MAX_STORE_BODY_BYTES: Final = 6 * 1_048_576 + 2_097_152
 # Upper bound on what a server can send before the host closes the connection: the
 # limits on heads and chunk framing, plus the socket buffers of both sides.
 MAX_SENT_BYTES: Final = 8_000_000
@@ -190,7 +192,7 @@
 
     def test_endless_body_is_cut_off(self) -> None:
         shape = (CHUNKED, b"10\r\n" + b" " * 16 + b"\r\n")
-        sent_bytes = MAX_RESPONSE_BYTES * len(shape[1]) // 16
+        sent_bytes = MAX_STORE_BODY_BYTES * len(shape[1]) // 16
         self.check_cut_off(shape, limit_bytes=MAX_SENT_BYTES + sent_bytes)
 
     @staticmethod
