--- a/src/siskinpier/platform/process.py
+++ b/src/siskinpier/platform/process.py
@@ -185,7 +185,7 @@
     shell.start(tasks)
 
     def reload_settings() -> None:
-        # Without the loop that handles signals, the next one would end the host.
+        # Its errors must not cost the loop that handles signals.
         with shell.failures.guard("reload"):
             settings_watcher.reload_settings()
 
