Read and log the rate limits that backend servers name

The adapters now read the field (Server-Limit on the users' platform, X-Rate-Limit of our own servers) from replies and probes; the holder tells its home with the end of the slot. A value that is no finite number of at least 0 is logged and changes nothing. No decision depends on it yet, so the fault stands.

--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -11,7 +11,7 @@
 from .messages import Message, RegisteredServer
 from .platform_results import ReadResult, WriteResult
 from .positions import StorePosition
-from .routing.calls import Call, LoadReport
+from .routing.calls import Call, LoadReport, RateLimitReport
 from .timers import Timer
 from .verdict import AttemptFailure, Verdict
 
@@ -64,6 +64,7 @@
     verdict: Verdict | None = None
     # The server asks this host to send it no calls for this time, seconds.
     pause_s: float | None = None
+    rate_limit: RateLimitReport | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -105,6 +106,7 @@
     bytes_used: int = 0
     report: LoadReport | None = None
     pause_s: float | None = None
+    rate_limit: RateLimitReport | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -9,7 +9,7 @@
 from .claims.messages import ClaimEnd, ClaimEndAck, ClaimReply, ClaimRequest
 from .configuration.intents import RoutingIntents
 from .positions import StorePosition
-from .routing.calls import LoadReport
+from .routing.calls import LoadReport, RateLimitReport
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -296,8 +296,8 @@
 class SlotEnd:
     """A slot is free again; without a `number`, the request and all its grants end.
 
-    `load` is the load that the server reported with its reply, and `pause_s` for how
-    long it asked the holder to send it no calls.
+    `load` is the load that the server reported with its reply, `pause_s` for how long
+    it asked the holder to send it no calls, and `rate_limit` the limit that it named.
     """
 
     host: str
@@ -308,6 +308,7 @@
     latency_s: float
     load: LoadReport | None = None
     pause_s: float = 0.0
+    rate_limit: RateLimitReport | None = None
 
 
 Message = (
--- a/src/siskinpier/core/routing/attempts.py
+++ b/src/siskinpier/core/routing/attempts.py
@@ -196,6 +196,7 @@
         latency_s=round(attempt.latency_s or 0.0, 4),
         load=attempt.load,
         pause_s=attempt.pause_s,
+        rate_limit=attempt.rate_limit,
     )
     out.append(SendMessage(host=grant.home, address=grant.address, message=message))
 
--- a/src/siskinpier/core/routing/balance.py
+++ b/src/siskinpier/core/routing/balance.py
@@ -17,6 +17,19 @@
 TRIAL_COST: Final = 1e9
 
 
+@dataclass(slots=True, kw_only=True)
+class RateLimit:
+    """The rate limit that a server named, in calls a second of all hosts together.
+
+    `heard_at` is when it was last named, in seconds. `is_in_probes` is set if answers
+    to probes name it too.
+    """
+
+    per_s: float
+    heard_at: float
+    is_in_probes: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class ServerRuntime:
     """The state of one backend server as this host observes it.
@@ -59,6 +72,7 @@
     # End of the pause that the server requested from each host, by host name; the
     # empty name stands for this host.
     paused_until: dict[str, float] = field(default_factory=dict)
+    rate_limit: RateLimit | None = None
 
 
 def get_slot_limit(server: ServerRuntime, now: float) -> int:
--- a/src/siskinpier/core/routing/calls.py
+++ b/src/siskinpier/core/routing/calls.py
@@ -69,6 +69,17 @@
     slowdown: float = 1.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimitReport:
+    """A rate limit that a backend server names in an answer.
+
+    `per_s` is the number of calls a second that it takes from all hosts together; None
+    if the field cannot be read. An answer without the field has no report.
+    """
+
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PendingSlotRequest:
     """A slot request that was not answered yet; the host `holder` sent it.
@@ -116,6 +127,7 @@
     load: LoadReport | None = None
     # Pause that the server requested, in seconds.
     pause_s: float = 0.0
+    rate_limit: RateLimitReport | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinpier/core/routing/probing.py
+++ b/src/siskinpier/core/routing/probing.py
@@ -12,6 +12,7 @@
 from .health import record_probe
 from .last_slots import update_last_slot_limits
 from .probe_budget import record_probe_bytes, update_probe_bucket
+from .rate_limits import LimitAnswer, handle_limit_answer
 from .server_availability import apply_pause, record_leaving_flag
 from .speed_changes import handle_load_report, handle_unresponsive_server
 from .speed_check_results import finish_checks
@@ -62,6 +63,13 @@
         server.last_heard = event.now
         handle_replaced_server(service, server, event.now, out)
         return
+    answer = LimitAnswer(
+        report=event.rate_limit,
+        sent_at=server.probed_at,
+        is_success=event.latency_s is not None,
+        is_probe=True,
+    )
+    handle_limit_answer(state, service, server, answer, event.now, out)
     if event.pause_s is not None:
         apply_pause(state, service, server, event.pause_s, event.now, out)
     if event.report is not None:
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -5,7 +5,7 @@
 from ..effects import CutReply, Effect, LogDecision, RelayReply
 from ..events import AttemptFailed, ReplyFinished, ReplyStarted
 from ..problems import make_attempt_failed
-from ..state import HostState
+from ..state import HostState, ServiceRuntime
 from ..verdict import AttemptFailure, Verdict, get_failure_verdict, get_reply_verdict
 from .attempts import (
     find_call_of_attempt,
@@ -14,6 +14,7 @@
     record_service_time,
     release_slot,
 )
+from .balance import ServerRuntime
 from .calls import ActiveCall, Attempt, Stage
 from .health import record_success
 from .hedging import (
@@ -23,6 +24,7 @@
 )
 from .last_slots import record_run
 from .queueing import dispatch_queued_calls
+from .rate_limits import LimitAnswer, handle_limit_answer
 from .refusals import refuse_call, remove_call
 from .retrying import record_verdict, retry_if_allowed
 from .run_times import record_run_time
@@ -65,7 +67,11 @@
         )
         return
     server = service.servers.get(attempt.target)
+    is_error = event.status in SERVER_ERROR_STATUSES or event.is_other_server
     if server is not None and not attempt.is_forward:
+        _record_rate_limit(
+            state, service, server, attempt, event, out, is_error=is_error
+        )
         record_leaving_flag(
             state, service, server, event.now, out, is_leaving=event.draining
         )
@@ -77,7 +83,6 @@
     verdict = get_reply_verdict(
         event.status, service.intent.not_run_statuses, event.verdict
     )
-    is_error = event.status in SERVER_ERROR_STATUSES or event.is_other_server
     if not is_error:
         if active.other_attempt is not None:
             # The other attempt, which is cancelled below, may have run.
@@ -101,6 +106,25 @@
     _relay_reply(active, event, verdict, out)
 
 
+def _record_rate_limit(
+    state: HostState,
+    service: ServiceRuntime,
+    server: ServerRuntime,
+    attempt: Attempt,
+    event: ReplyStarted,
+    out: list[Effect],
+    *,
+    is_error: bool,
+) -> None:
+    if event.is_other_server:
+        return
+    attempt.rate_limit = event.rate_limit
+    answer = LimitAnswer(
+        report=event.rate_limit, sent_at=attempt.started, is_success=not is_error
+    )
+    handle_limit_answer(state, service, server, answer, event.now, out)
+
+
 def handle_reply_finished(
     state: HostState, event: ReplyFinished, out: list[Effect]
 ) -> None:
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -44,6 +44,7 @@
 from .hedging import update_hedge_delay
 from .last_slots import record_run
 from .queueing import dispatch_queued_calls
+from .rate_limits import LimitAnswer, handle_limit_answer
 from .refusals import refuse_call, remove_call
 from .retry_budget import credit_budgets
 from .run_times import record_run_time
@@ -404,6 +405,12 @@
         return
     if message.load is not None:
         handle_load_report(state, service, server, message.load, now, out)
+    answer = LimitAnswer(
+        report=message.rate_limit,
+        sent_at=attempt.started,
+        is_success=message.use is SlotUse.ANSWERED,
+    )
+    handle_limit_answer(state, service, server, answer, now, out)
     if message.pause_s > 0.0:
         apply_pause(
             state, service, server, message.pause_s, now, out, holder=message.host
--- a/src/siskinpier/edge/header_adapter.py
+++ b/src/siskinpier/edge/header_adapter.py
@@ -4,8 +4,9 @@
 
 from ..core.effects import SendAttempt
 from ..core.events import ReplyStarted
-from ..core.routing.calls import Call, LoadReport
+from ..core.routing.calls import Call, LoadReport, RateLimitReport
 from ..core.verdict import Verdict
+from ..logs import log_warning
 from .backends import BackendReply
 from .exchange import Exchange
 from .headers import (
@@ -13,11 +14,13 @@
     DRAINING_HEADER,
     FORWARDED_HEADER,
     LOAD_HEADER,
+    RATE_LIMIT_HEADER,
     TIMEOUT_HEADER,
     VERDICT_HEADER,
     Forward,
     Headers,
     get_header,
+    parse_rate,
     sign_forward,
     strip_hop_by_hop,
 )
@@ -45,6 +48,9 @@
     def read_pause(self, status: int, headers: Headers) -> float | None:
         """Return the pause that a server requests of this host, in seconds, or None."""
 
+    def read_rate_limit(self, headers: Headers) -> RateLimitReport | None:
+        """Return the rate limit that a server names, or None if it names none."""
+
     def is_other_server(self, headers: Headers, server: str) -> bool:
         """Return True if the response to a probe names another server."""
 
@@ -80,6 +86,9 @@
             load=_parse_load(get_header(reply.headers, LOAD_HEADER)),
             draining=self.is_leaving(reply.headers),
             verdict=_parse_verdict(reply.headers) if effect.is_forward else None,
+            rate_limit=(
+                None if effect.is_forward else self.read_rate_limit(reply.headers)
+            ),
         )
 
     def read_report(self, headers: Headers) -> LoadReport | None:
@@ -94,6 +103,10 @@
         """Return None: these servers request no pauses."""
         return None
 
+    def read_rate_limit(self, headers: Headers) -> RateLimitReport | None:
+        """Return the rate limit that a server names, or None if it names none."""
+        return make_rate_limit_report(get_header(headers, RATE_LIMIT_HEADER))
+
     def is_other_server(self, headers: Headers, server: str) -> bool:
         """Return False: responses to probes do not name their server."""
         return False
@@ -107,6 +120,16 @@
         return sign_forward(self._peer_key, call.call_id, call.fingerprint, forward)
 
 
+def make_rate_limit_report(value: bytes | None) -> RateLimitReport | None:
+    """Return the report of a rate limit field, or None without a field."""
+    if value is None:
+        return None
+    per_s = parse_rate(value)
+    if per_s is None:
+        log_warning("rate-limit-unreadable", value=value[:40].decode("latin-1"))
+    return RateLimitReport(per_s=per_s)
+
+
 def _parse_load(value: bytes | None) -> int | None:
     """Return the running calls in a load field `RUNNING/SLOTS`, or None."""
     count = (value or b"").partition(b"/")[0]
--- a/src/siskinpier/edge/headers.py
+++ b/src/siskinpier/edge/headers.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import isfinite
 from typing import Final
 
 Headers = list[tuple[bytes, bytes]]
@@ -17,6 +18,7 @@
 HOST_HEADER: Final = b"host"
 LOAD_HEADER: Final = b"x-load"
 DRAINING_HEADER: Final = b"x-draining"
+RATE_LIMIT_HEADER: Final = b"x-rate-limit"
 
 _HOP_BY_HOP: Final = frozenset(
     {
@@ -38,6 +40,8 @@
 )
 _FORWARD_FLAGS: Final = frozenset({"00", "01", "10", "11"})
 _KEY_PATTERN: Final = re.compile(rb"[!-~]{1,255}")
+# A decimal number, with an optional exponent.
+_RATE_PATTERN: Final = re.compile(rb"[0-9]{1,32}(\.[0-9]{0,32})?([eE][+-]?[0-9]{1,3})?")
 _URGENCY_PATTERN: Final = re.compile(rb"(?:^|[\s,])u=([0-7])(?:$|[\s,;])")
 
 
@@ -69,6 +73,15 @@
     return int(match.group(1)) if match else None
 
 
+def parse_rate(value: bytes) -> float | None:
+    """Return a finite rate of at least 0 a second, or None if the value is none."""
+    text = value.strip()
+    if _RATE_PATTERN.fullmatch(text) is None:
+        return None
+    rate = float(text)
+    return rate if isfinite(rate) else None
+
+
 def find_header_error(headers: Headers, http_version: str) -> str | None:
     """Return an error message if a field that the host uses is invalid, else None.
 
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -54,7 +54,7 @@
 from ..core.problems import make_host_stopped, make_internal_error
 from ..core.reducer import apply_event
 from ..core.routing.addresses import AddressAnswer, get_addresses
-from ..core.routing.calls import LoadReport, Stage
+from ..core.routing.calls import LoadReport, RateLimitReport, Stage
 from ..core.routing.refusals import get_untracked_verdict
 from ..core.routing.slot_counts import recount_slots
 from ..core.state import HostState, Lifecycle
@@ -524,6 +524,7 @@
         started = self.clock()
         latency_s: float | None = None
         pause_s: float | None = None
+        rate_limit: RateLimitReport | None = None
         draining = is_other_server = False
         report: LoadReport | None = None
         size = 0
@@ -546,6 +547,7 @@
                 )
                 report = self.header_adapter.read_report(reply.headers)
                 pause_s = self.header_adapter.read_pause(reply.status, reply.headers)
+                rate_limit = self.header_adapter.read_rate_limit(reply.headers)
                 if reply.status < 400:
                     latency_s = self.clock() - started
             except AttemptError:
@@ -562,6 +564,7 @@
                 bytes_used=size,
                 report=report,
                 pause_s=pause_s,
+                rate_limit=rate_limit,
             )
         )
 
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -88,6 +88,14 @@
         retries = _make_gauge(
             "retry_budget", "Second attempts that this host may make now.", "service"
         )
+        limited = _make_gauge(
+            "rate_limited_servers", "Owned servers that name a rate limit.", "service"
+        )
+        limits = _make_gauge(
+            "rate_limit_per_second",
+            "Sum of the rate limits that owned servers name.",
+            "service",
+        )
         budgets = CounterMetricFamily(
             "siskinpier_repeats",
             "Second sends that the budget of a service earned here, let pass, denied.",
@@ -102,7 +110,12 @@
             queue.add_metric([name], len(service.queue))
             in_flight.add_metric([name], sum(s.in_flight for s in service.owned))
             budget.add_metric([name], service.probes.rate)
+            named = [s.rate_limit.per_s for s in service.owned if s.rate_limit]
+            limited.add_metric([name], len(named))
+            limits.add_metric([name], sum(named))
         yield queue
+        yield limited
+        yield limits
         yield in_flight
         yield budget
         yield retries
--- a/src/siskinpier/platform/headers.py
+++ b/src/siskinpier/platform/headers.py
@@ -6,10 +6,11 @@
 
 from ..core.effects import SendAttempt
 from ..core.events import ReplyStarted
-from ..core.routing.calls import Call, LoadReport
+from ..core.routing.calls import Call, LoadReport, RateLimitReport
 from ..core.verdict import Verdict
 from ..edge.backends import BackendReply
 from ..edge.exchange import Exchange
+from ..edge.header_adapter import make_rate_limit_report
 from ..edge.headers import Headers, get_header, strip_hop_by_hop
 from ..logs import log_warning
 
@@ -28,6 +29,8 @@
 RETRY_AFTER_HEADER: Final = b"retry-after"
 # `1` in all replies of a backend server that is leaving.
 LEAVING_HEADER: Final = b"server-leaving"
+# Requests a second that a backend server in need takes from all hosts together.
+RATE_LIMIT_HEADER: Final = b"server-limit"
 # Seconds with an optional fraction, of at most 9 digits each.
 _SECONDS_PATTERN: Final = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 MISDIRECTED: Final = 421
@@ -69,6 +72,7 @@
             report=self.read_report(reply.headers),
             draining=self.is_leaving(reply.headers),
             pause_s=self.read_pause(reply.status, reply.headers),
+            rate_limit=self.read_rate_limit(reply.headers),
             is_other_server=reply.status == MISDIRECTED,
             verdict=Verdict.NOT_RUN if is_not_run else None,
         )
@@ -94,6 +98,10 @@
             return None
         return float(value)
 
+    def read_rate_limit(self, headers: Headers) -> RateLimitReport | None:
+        """Return the rate limit that a server names, or None if it names none."""
+        return make_rate_limit_report(get_header(headers, RATE_LIMIT_HEADER))
+
     def is_other_server(self, headers: Headers, server: str) -> bool:
         """Return True if a probe was answered by a server other than the one meant."""
         answering = get_header(headers, SERVER_ID_HEADER)
