--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -51,7 +51,7 @@
 from siskinpier.core.messages import Message, RegisteredServer
 from siskinpier.core.positions import StorePosition
 from siskinpier.core.reducer import reduce
-from siskinpier.core.routing.calls import Call, LoadReport
+from siskinpier.core.routing.calls import Call, LoadReport, RateLimitReport
 from siskinpier.core.state import CoreSettings, HostIdentity, HostState, make_state
 from siskinpier.core.verdict import Verdict
 
@@ -142,6 +142,11 @@
     pause_s: float | None = None
     # Share of the calls that it rejects.
     reject_share: float = 0.0
+    # Names this limit in its answers, calls a second; also in those to probes.
+    rate_limit_per_s: float | None = None
+    names_limit_in_probes: bool = False
+    # Names a limit that cannot be read.
+    names_unreadable_limit: bool = False
     # Other work that slows it in some periods.
     neighbours: Neighbours | None = None
     running: int = 0
@@ -156,6 +161,16 @@
             running=self.running, waiting=0, slots=self.slots, slowdown=slowdown
         )
 
+    def report_rate_limit(self, *, is_probe: bool = False) -> RateLimitReport | None:
+        """Return the rate limit that it names in an answer."""
+        if is_probe and not self.names_limit_in_probes:
+            return None
+        if self.names_unreadable_limit:
+            return RateLimitReport(per_s=None)
+        if self.rate_limit_per_s is None:
+            return None
+        return RateLimitReport(per_s=self.rate_limit_per_s)
+
     def is_rejecting(self, call_id: str) -> bool:
         """Return True if a call that arrives now is rejected."""
         if self.is_replaced or self.pause_s is not None:
@@ -173,6 +188,16 @@
         return self.neighbours.compute_run_s(work_s * get_work_factor(call_id), now)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerRequest:
+    """A call or probe that a host sent to a server."""
+
+    at: float
+    host: str
+    server: str
+    is_probe: bool = False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
     """The answer that a caller received, and the time it took."""
@@ -206,6 +231,8 @@
         self.sent: list[tuple[str, str]] = []
         # Calls that arrived at servers, run or not, with the time.
         self.arrivals: list[tuple[float, str]] = []
+        # Calls and probes that were sent to servers.
+        self.requests: list[ServerRequest] = []
         self.logs: list[tuple[str, LogDecision]] = []
         self.messages = 0
         # Number of calls that arrived at the address of a server that was replaced.
@@ -431,6 +458,9 @@
         self.after(NEAR_DELAY_S if is_near else FAR_DELAY_S, arrive)
 
     def _probe(self, host: str, service: str, server: str) -> None:
+        request = ServerRequest(at=self.now, host=host, server=server, is_probe=True)
+        self.requests.append(request)
+
         def answer() -> None:
             if self.servers[server].is_silent:
                 return
@@ -443,6 +473,7 @@
                 draining=self.servers[server].reports_leaving,
                 pause_s=self.servers[server].pause_s,
                 is_other_server=self.servers[server].is_replaced,
+                rate_limit=self.servers[server].report_rate_limit(is_probe=True),
             )
             self.handle(host, event)
 
@@ -451,6 +482,7 @@
     def _send(self, host: str, effect: SendAttempt) -> None:
         server = self.servers[effect.target]
         self.arrivals.append((self.now, effect.call_id))
+        self.requests.append(ServerRequest(at=self.now, host=host, server=server.name))
         if server.is_rejecting(effect.call_id):
             self.rejections.append((self.now, host, server.name))
             self.after(REJECT_DELAY_S, lambda: self._reject(host, effect, server))
@@ -471,6 +503,7 @@
                 status=server.status,
                 draining=server.reports_leaving,
                 report=server.report(self.now),
+                rate_limit=server.report_rate_limit(),
             )
             self.handle(host, started)
             if key in self._cancelled:
@@ -499,6 +532,7 @@
             is_other_server=server.is_replaced,
             verdict=Verdict.NOT_RUN,
             pause_s=server.pause_s,
+            rate_limit=None if server.is_replaced else server.report_rate_limit(),
         )
         self.handle(host, started)
         if effect.call_id in self.states[host].calls or effect.call_id in self.answers:
