Keep the rate limits of backend servers at their owners

What callers saw: a server in need that named a limit got as many calls as before (30 in 4 s at 1.3 a second, where 13 are allowed), so it stayed in need.

Cause: nothing read the limit; class: a promise of an outside system that no part of ours was responsible for. Fix: the owner of a server, which already decides on every call that goes there, takes a token for each. So there is nothing to divide between hosts. Tokens come at the named rate and at most a quarter second of them is kept (one at least), which leaves room within the rule for two owners at once while views differ. Owners of other failure domains, which may be cut off from the right one, share 0.4 of the limit. Hosts that reach no home leave limited servers alone. Probes take tokens too, a tenth of them.

The limit ends with a good answer without it to a call sent after the limit was heard, with a new incarnation of the server, or when the server is gone. Admission, waiting times and Retry-After count a limited server by its rate, waiting calls are judged again when a limit appears, and a refusal says that servers are limited. The owner tells the other hosts of changes, once a second at most, and hosts that start are told by their domain.

--- a/src/siskinpier/core/cluster/registered_leaving.py
+++ b/src/siskinpier/core/cluster/registered_leaving.py
@@ -13,9 +13,8 @@
 from ..messages import RegisteredServer, ServerNotice
 from ..positions import StorePosition
 from ..state import HostState, LeavingRecord
-from .broadcast import send_to_domain
-from .members import Member, is_live
-from .rendezvous import rank_nodes
+from .broadcast import send_to_domain, send_to_other_domains
+from .members import Member
 
 # An entry received this soon after the announcement may have been written before it.
 ENTRY_RACE_S: Final = 1.0
@@ -107,16 +106,8 @@
     if source.host and source.failure_domain == own:
         return
     send_to_domain(state, _make_notice(entry), out)
-    if source.host:
-        return
-    names_by_domain: dict[str, list[str]] = {}
-    for member in state.members.values():
-        is_remote = member.failure_domain != own
-        if is_remote and is_live(member, now, state.settings.heartbeat_s):
-            names_by_domain.setdefault(member.failure_domain, []).append(member.name)
-    for names in names_by_domain.values():
-        recipient = rank_nodes(entry.name, names)[0]
-        _send(state.members[recipient], entry, out)
+    if not source.host:
+        send_to_other_domains(state, _make_notice(entry), entry.name, now, out)
 
 
 def _send(member: Member, entry: RegisteredServer, out: list[Effect]) -> None:
--- a/src/siskinpier/core/cluster/soft_state_sync.py
+++ b/src/siskinpier/core/cluster/soft_state_sync.py
@@ -4,13 +4,14 @@
 from ..routing.quarantine import send_crash_reports
 from ..state import HostState
 from .declared_leaving import send_declared_leaving
+from .rate_limit_notices import send_rate_limits
 from .registered_leaving import send_registered_leaving
 
 
 def send_soft_state(
     state: HostState, host: str, incarnation: int, out: list[Effect]
 ) -> None:
-    """Send a host, once per incarnation, the known crashes and leaving servers."""
+    """Send a host, once per incarnation, known crashes, leaving servers and limits."""
     if state.soft_state_sent_to.get(host) == incarnation:
         return
     state.soft_state_sent_to[host] = incarnation
@@ -20,3 +21,4 @@
     send_crash_reports(state, member, out)
     send_declared_leaving(state, member, out)
     send_registered_leaving(state, member, out)
+    send_rate_limits(state, member, out)
--- a/src/siskinpier/core/cluster/views.py
+++ b/src/siskinpier/core/cluster/views.py
@@ -6,6 +6,7 @@
 from ..effects import Effect, LogDecision
 from ..routing.balance import ServerRuntime
 from ..routing.budgets import TokenBucket
+from ..routing.rate_limits import assign_rate_limits, forget_rate_limits
 from ..routing.retry_budget import assign_slack_share
 from ..state import MAX_RETRY_TOKENS, HostState, Lifecycle, ServiceRuntime
 from .dissemination import update_monitors
@@ -108,6 +109,8 @@
         if runtime.intent.state != server.state:
             runtime.slow_start_at = now
         runtime.intent = server
+    assign_rate_limits(state, intent.name, servers, now)
+    forget_rate_limits(state, intent.name, known.keys() - servers.keys())
     if old is None:
         return ServiceRuntime(
             intent=intent,
--- a/src/siskinpier/core/language/service_rows.py
+++ b/src/siskinpier/core/language/service_rows.py
@@ -9,6 +9,7 @@
     is_ejected,
 )
 from ..routing.quarantine import list_quarantine
+from ..routing.rate_limit_tokens import has_token
 from ..state import HostState, ServiceRuntime
 
 Rows = list[dict[str, object]]
@@ -46,6 +47,7 @@
             "avoided": _get_avoidance_reason(server, now),
             "in flight": server.in_flight,
             "slots": get_slot_limit(server, now),
+            "limit/s": server.rate_limit.per_s if server.rate_limit else "",
             "reported load": format_cell(server.reported_load),
             "latency ms": round(server.latency_s * 1000, 3),
             "failure share": round(server.failure_share, 3),
@@ -147,6 +149,8 @@
         return f"ejected for {server.ejected_until - now:.1f} s more"
     if has_free_slot(server, now):
         return ""
+    if not has_token(server.rate_limit, now):
+        return "at its rate limit"
     if server.is_on_trial:
         return "full on trial after its ejection"
     if get_slot_limit(server, now) < server.intent.slots:
--- a/src/siskinpier/core/messages.py
+++ b/src/siskinpier/core/messages.py
@@ -129,6 +129,20 @@
     started: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimitNotice:
+    """The rate limit that a backend server named, in requests a second of all hosts.
+
+    `per_s` is None if it names none any more. `started` identifies the server's
+    incarnation if servers register.
+    """
+
+    service: str
+    server: str
+    started: int
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RegisteredServer:
     """A backend server's own entry in the platform's registry.
@@ -324,6 +338,7 @@
     | CrashReport
     | QuarantineRelease
     | ServerNotice
+    | RateLimitNotice
     | ServersNotice
     | ServersRequest
     | RelayReport
--- a/src/siskinpier/core/problems.py
+++ b/src/siskinpier/core/problems.py
@@ -82,6 +82,22 @@
     )
 
 
+def make_servers_limited(
+    service: str, retry_after_s: float, verdict: Verdict
+) -> Problem:
+    """Return the problem for a call for which the servers' rate limits leave no room.
+
+    `verdict` is the worst verdict of the attempts made so far.
+    """
+    return Problem(
+        status=503,
+        title="Backend servers limited",
+        detail=f"the rate limits of the backend servers of {service!r} are used up",
+        verdict=verdict,
+        retry_after_s=retry_after_s,
+    )
+
+
 def make_overloaded(
     service: str, retry_after_s: float, verdict: Verdict = Verdict.NOT_RUN
 ) -> Problem:
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -23,6 +23,7 @@
     start_poll,
     update_watch,
 )
+from .cluster.rate_limit_notices import handle_rate_limit_notice
 from .cluster.readiness import handle_missing_intents, update_readiness
 from .cluster.registry import (
     expire_held_servers,
@@ -84,6 +85,7 @@
     IntentsRequest,
     MembersNotice,
     QuarantineRelease,
+    RateLimitNotice,
     RelayReport,
     ServerNotice,
     ServersNotice,
@@ -316,6 +318,8 @@
             handle_registered_leaving(state, message, event.sender, event.now, out)
         case ServerNotice() as message:
             handle_declared_leaving(state, message, event.now, out)
+        case RateLimitNotice() as message:
+            handle_rate_limit_notice(state, message, event.sender, event.now, out)
         case SlotRequest() as message:
             handle_slot_request(state, message, event.now, out)
         case SlotGrant() as message:
--- a/src/siskinpier/core/routing/admission.py
+++ b/src/siskinpier/core/routing/admission.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from ..state import COMPLETION_RATE_TIME_CONSTANT_S, ServiceRuntime
-from .balance import get_slot_limit, is_draining, is_ejected
+from .balance import get_sustained_slots, is_draining, is_ejected
 from .calls import ActiveCall
 from .run_times import get_typical_run_s
 
@@ -71,10 +71,11 @@
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
 
-def _count_slots(service: ServiceRuntime, now: float) -> int:
+def _count_slots(service: ServiceRuntime, now: float) -> float:
+    """Return how many slots can be in use all the time, 1 if there is none."""
     slots = sum(
-        get_slot_limit(server, now)
+        get_sustained_slots(server, service.service_time_s, now)
         for server in service.owned
         if not is_draining(server) and not is_ejected(server, now)
     )
-    return max(1, slots)
+    return slots or 1.0
--- a/src/siskinpier/core/routing/attempts.py
+++ b/src/siskinpier/core/routing/attempts.py
@@ -20,6 +20,7 @@
 from .calls import ActiveCall, Attempt, Grant, Stage
 from .forwarding import record_forward
 from .health import eject_replaced_server, record_failure
+from .rate_limit_tokens import take_token
 from .slot_requests import withdraw_slot_requests
 from .speeds import get_slowdown
 
@@ -53,6 +54,7 @@
     withdraw_slot_requests(active, out)
     restore_deadline_timer(active, out)
     server.in_flight += 1
+    take_token(server.rate_limit, now)
     active.attempts[-1].took_last_slot = server.in_flight >= server.intent.slots
     active.attempts[-1].slowdown = get_slowdown(server, now)
     _log_route(active, server, reason, now, out)
--- a/src/siskinpier/core/routing/balance.py
+++ b/src/siskinpier/core/routing/balance.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from math import sqrt
+from math import inf, sqrt
 from typing import Final
 
 from ..configuration.intents import BackendServer, ServerState
 from .calls import LoadReport
+from .rate_limit_tokens import RateLimit, has_token
 
 # Increase of a server's cost, as a multiple, at a failure share of 1.
 FAILURE_PENALTY: Final = 8.0
@@ -17,19 +18,6 @@
 TRIAL_COST: Final = 1e9
 
 
-@dataclass(slots=True, kw_only=True)
-class RateLimit:
-    """The rate limit that a server named, in calls a second of all hosts together.
-
-    `heard_at` is when it was last named, in seconds. `is_in_probes` is set if answers
-    to probes name it too.
-    """
-
-    per_s: float
-    heard_at: float
-    is_in_probes: bool = False
-
-
 @dataclass(slots=True, kw_only=True)
 class ServerRuntime:
     """The state of one backend server as this host observes it.
@@ -73,6 +61,11 @@
     # empty name stands for this host.
     paused_until: dict[str, float] = field(default_factory=dict)
     rate_limit: RateLimit | None = None
+    # The limit that this host last announced to its failure domain, and when.
+    announced_limit_per_s: float | None = None
+    limit_announced_at: float = -inf
+    # When the first unanswered probe was sent; 0 if there is none.
+    unanswered_since: float = 0.0
 
 
 def get_slot_limit(server: ServerRuntime, now: float) -> int:
@@ -106,7 +99,20 @@
     """Return True if the backend server can be sent one more call now."""
     if is_draining(server) or is_ejected(server, now):
         return False
-    return server.in_flight < get_slot_limit(server, now)
+    if server.in_flight >= get_slot_limit(server, now):
+        return False
+    return has_token(server.rate_limit, now)
+
+
+def get_sustained_slots(server: ServerRuntime, run_s: float, now: float) -> float:
+    """Return how many calls that run for `run_s` seconds can be in flight all the time.
+
+    A rate limit may keep some of the server's slots empty.
+    """
+    slots = get_slot_limit(server, now)
+    if server.rate_limit is None or run_s <= 0.0:
+        return slots
+    return min(slots, server.rate_limit.bucket.rate * run_s)
 
 
 def has_tried_all(
--- a/src/siskinpier/core/routing/budgets.py
+++ b/src/siskinpier/core/routing/budgets.py
@@ -42,7 +42,7 @@
 
     def take(self, now: float, amount: float = 1.0) -> bool:
         """Take tokens and return True, or return False if there are too few."""
-        self._refill(now)
+        self.refill(now)
         if self.tokens < amount:
             self.denied += amount
             return False
@@ -55,7 +55,13 @@
         self.added += amount
         self.tokens = min(self.capacity, self.tokens + amount)
 
-    def _refill(self, now: float) -> None:
+    def has(self, now: float, amount: float = 1.0) -> bool:
+        """Return True if there are enough tokens."""
+        self.refill(now)
+        return self.tokens >= amount
+
+    def refill(self, now: float) -> None:
+        """Add the tokens of the time since the last refill."""
         elapsed_s = max(0.0, now - self.updated)
         self.updated = now
         self.tokens = min(self.capacity, self.tokens + elapsed_s * self.rate)
--- a/src/siskinpier/core/routing/candidates.py
+++ b/src/siskinpier/core/routing/candidates.py
@@ -17,7 +17,7 @@
 from .balance import (
     ServerRuntime,
     choose_server,
-    get_slot_limit,
+    get_sustained_slots,
     has_free_slot,
     is_draining,
     is_ejected,
@@ -116,7 +116,11 @@
     """
     typical_run_s = get_typical_run_s(service, active)
     usable = [s for s in servers if not is_draining(s)]
-    slots = sum(get_slot_limit(s, now) for s in usable if not is_slow(s, now))
+    slots = sum(
+        get_sustained_slots(s, typical_run_s, now)
+        for s in usable
+        if not is_slow(s, now)
+    )
     ahead = service.queue.count_ahead(active.urgency, active.call.deadline) + 1
     wait_s = ahead * typical_run_s / slots if slots else UNKNOWN_WAIT_S
     slow = [s for s in usable if is_slow(s, now) and not s.is_silent]
--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -122,7 +122,8 @@
     """Send a call to any backend server because no home can be reached.
 
     Servers of this host's failure domain come first. A retry takes its token from the
-    budget of this host, as no home has counted it.
+    budget of this host, as no home has counted it. Servers that name a rate limit are
+    left to their owners, which alone know how much of it is used.
     """
     credit_budgets_once(service, active)
     is_uncounted_retry = state.settings.grants_slots and active.has_been_sent()
@@ -131,8 +132,9 @@
         refuse_call(active, make_retry_budget_exhausted(active.call.service), out)
         return
     own = state.identity.failure_domain
-    near = [s for s in service.servers.values() if s.intent.failure_domain == own]
-    for servers in (near, service.servers.values()):
+    unlimited = [s for s in service.servers.values() if s.rate_limit is None]
+    near = [s for s in unlimited if s.intent.failure_domain == own]
+    for servers in (near, unlimited):
         server = choose_server(
             servers, now, active.list_tried_targets(), idempotent=active.idempotent
         )
--- a/src/siskinpier/core/routing/load_reports.py
+++ b/src/siskinpier/core/routing/load_reports.py
@@ -20,4 +20,5 @@
     server.reported_at = now
     server.last_heard = now
     server.is_silent = False
+    server.unanswered_since = 0.0
     server.slowdown = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, report.slowdown))
--- a/src/siskinpier/core/routing/probing.py
+++ b/src/siskinpier/core/routing/probing.py
@@ -12,11 +12,12 @@
 from .health import record_probe
 from .last_slots import update_last_slot_limits
 from .probe_budget import record_probe_bytes, update_probe_bucket
-from .rate_limits import LimitAnswer, handle_limit_answer
+from .rate_limit_answers import LimitAnswer, handle_limit_answer
+from .rate_limit_tokens import get_probe_interval_s, has_token
 from .server_availability import apply_pause, record_leaving_flag
 from .speed_changes import handle_load_report, handle_unresponsive_server
 from .speed_check_results import finish_checks
-from .speed_checks import make_probe
+from .speed_checks import send_probe
 from .speeds import has_stopped_reporting
 
 PROBE_INTERVAL_S: Final = 0.2
@@ -99,11 +100,12 @@
             continue
         if not server.is_silent and has_stopped_reporting(server, now):
             handle_unresponsive_server(state, service, server, now, out)
+        limit = server.rate_limit
         age_s = now - max(server.reported_at, server.probed_at)
-        if age_s < MAX_REPORT_AGE_S:
+        if age_s < max(MAX_REPORT_AGE_S, get_probe_interval_s(limit)):
             continue
-        server.probed_at = now
-        out.append(make_probe(service, server))
+        if has_token(limit, now):
+            send_probe(service, server, now, out)
 
 
 def _probe_service(
@@ -115,13 +117,14 @@
     stale = [
         server
         for server in service.owned
-        if _get_age_s(server, now) > MAX_STATE_AGE_S and not is_paused(server, now)
+        if _get_age_s(server, now) > _get_max_age_s(server)
+        and not is_paused(server, now)
+        and has_token(server.rate_limit, now)
     ]
     for server in sorted(stale, key=lambda s: -_get_priority(s, now)):
         if not bucket.take(now):
             return
-        server.probed_at = now
-        out.append(make_probe(service, server))
+        send_probe(service, server, now, out)
         out.append(
             LogDecision(
                 event="probe",
@@ -139,6 +142,10 @@
     return now - max(server.last_heard, server.probed_at)
 
 
+def _get_max_age_s(server: ServerRuntime) -> float:
+    return max(MAX_STATE_AGE_S, get_probe_interval_s(server.rate_limit))
+
+
 def _get_priority(server: ServerRuntime, now: float) -> float:
     """Return the probe priority of a server: the weighted age of its known state."""
     is_uncalled = is_ejected(server, now) or is_draining(server)
--- a/src/siskinpier/core/routing/queueing.py
+++ b/src/siskinpier/core/routing/queueing.py
@@ -1,9 +1,15 @@
 """The queue of a service: which calls enter it, and when they leave it."""
 
+from math import inf
 from typing import Final
 
 from ..effects import Effect, LogDecision, SetTimer
-from ..problems import make_no_server, make_overloaded, make_servers_paused
+from ..problems import (
+    make_no_server,
+    make_overloaded,
+    make_servers_limited,
+    make_servers_paused,
+)
 from ..state import HostState, ServiceRuntime
 from ..timers import CallDeadline, QueueReviewDue, SlowServersAllowedDue
 from ..verdict import Problem
@@ -13,13 +19,14 @@
     is_not_worth_queueing,
 )
 from .attempts import cancel_attempts, restore_deadline_timer
-from .balance import ServerRuntime, has_free_slot, is_draining
+from .balance import ServerRuntime, has_free_slot, is_draining, is_ejected
 from .calls import ActiveCall, Stage
 from .candidates import choose_candidate, estimate_answer_s
 from .cross_domain import is_cross_domain_worthwhile
 from .forwarding import report_spare_slots
 from .pauses import find_pause_end
 from .quarantine import find_quarantine_refusal
+from .rate_limit_tokens import get_token_time, has_token
 from .refusals import refuse_call, remove_call
 from .run_times import get_typical_run_s
 from .slot_requests import request_slot, request_spare_slot
@@ -30,6 +37,7 @@
 MAX_SCANNED_CALLS: Final = 8
 # How often a queue is reviewed while slow servers have free slots, in seconds.
 QUEUE_REVIEW_INTERVAL_S: Final = 0.1
+MIN_REVIEW_INTERVAL_S: Final = 0.005
 # Share of the time to its deadline after which a waiting call is refused.
 MAX_WAIT_SHARE: Final = 0.5
 
@@ -149,6 +157,19 @@
         enqueue_call(state, service, active, now, out)
 
 
+def requeue_calls(
+    state: HostState, service: ServiceRuntime, now: float, out: list[Effect]
+) -> None:
+    """Queue the waiting calls again, without those that would now wait too long."""
+    if not service.owned:
+        return
+    for call_id in service.queue.get_call_ids():
+        active = state.calls[call_id]
+        service.queue.remove(active)
+        restore_deadline_timer(active, out)
+        enqueue_call(state, service, active, now, out)
+
+
 def refuse_waiting_call(
     state: HostState,
     service: ServiceRuntime,
@@ -175,16 +196,21 @@
 
 
 def _schedule_review(service: ServiceRuntime, now: float, out: list[Effect]) -> None:
-    """Schedule a review of the queue if slow servers have free slots.
+    """Schedule a review of the queue where no other event may come in time.
 
-    There may be no other event in time, and the choice changes with the length of a
-    slow period.
+    While slow servers have free slots, the choice changes with the length of a slow
+    period. A server that names a rate limit takes a call at a known time.
     """
     if len(service.queue) == 0:
         return
+    limits = [s.rate_limit for s in service.owned if not has_token(s.rate_limit, now)]
+    review_at = min((get_token_time(limit, now) for limit in limits), default=inf)
+    review_at = max(review_at, now + MIN_REVIEW_INTERVAL_S)
     if any(is_slow(s, now) and has_free_slot(s, now) for s in service.owned):
+        review_at = min(review_at, now + QUEUE_REVIEW_INTERVAL_S)
+    if review_at < inf:
         timer = QueueReviewDue(service=service.intent.name)
-        out.append(SetTimer(timer=timer, at=now + QUEUE_REVIEW_INTERVAL_S))
+        out.append(SetTimer(timer=timer, at=review_at))
 
 
 def _find_next_call(
@@ -297,4 +323,9 @@
     service: ServiceRuntime, active: ActiveCall, now: float
 ) -> Problem:
     retry_after_s = estimate_retry_after_s(service, now)
+    usable = [s for s in service.owned if not is_draining(s) and not is_ejected(s, now)]
+    if usable and all(server.rate_limit is not None for server in usable):
+        return make_servers_limited(
+            active.call.service, retry_after_s, active.worst_verdict
+        )
     return make_overloaded(active.call.service, retry_after_s, active.worst_verdict)
--- a/src/siskinpier/core/routing/rate_limits.py
+++ b/src/siskinpier/core/routing/rate_limits.py
@@ -1,99 +1,108 @@
-"""Rate limits that backend servers name for the calls of all hosts together.
+"""Rate limits that backend servers name for the requests of all hosts together.
 
-A server in need names in its answers how many calls a second it takes. The limit ends
-with a successful answer, to a call that was sent after the limit was last heard, that
-names none. An answer to a probe ends it only if probes have named it before.
+The owner of a server keeps its limit: no other host decides when a call goes there, so
+the limit needs no division between hosts. Other hosts remember what they heard, for the
+time when they become the owner, and send nothing to a limited server on their own.
 """
 
-from dataclasses import dataclass
-
 from ..effects import Effect, LogDecision
-from ..state import HostState, ServiceRuntime
-from .balance import RateLimit, ServerRuntime
-from .calls import RateLimitReport
-
+from ..state import HostState, RateLimitKey, ServiceRuntime
+from .balance import ServerRuntime
+from .rate_limit_tokens import FOREIGN_SHARE, RateLimit, update_bucket
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LimitAnswer:
-    """What an answer of a backend server shows about its rate limit.
-
-    `sent_at` is when the call or probe was sent or granted its slot, in seconds. Only
-    an answer with `is_success` shows by a missing report that the limit has ended.
-    """
 
-    report: RateLimitReport | None
-    sent_at: float
-    is_success: bool
-    is_probe: bool = False
-
-
-def handle_limit_answer(
-    state: HostState,
-    service: ServiceRuntime,
-    server: ServerRuntime,
-    answer: LimitAnswer,
-    now: float,
-    out: list[Effect],
-) -> None:
-    """Record the rate limit that an answer names, or the end of an earlier one."""
-    if answer.report is None:
-        if _is_end_of_limit(server.rate_limit, answer):
-            end_rate_limit(service, server, "answer", out)
-        return
-    if answer.report.per_s is None:
-        return
-    limit = set_rate_limit(
-        state, service, server, answer.report.per_s, "answer", now, out
-    )
-    limit.is_in_probes = limit.is_in_probes or answer.is_probe
+def get_started(state: HostState, server: str) -> int:
+    """Return the start of a registered server's incarnation; 0 if it is not known."""
+    entry = state.registry.servers.get(server)
+    return entry.started if entry is not None else 0
 
 
 def set_rate_limit(
     state: HostState,
-    service: ServiceRuntime,
-    server: ServerRuntime,
+    key: RateLimitKey,
     per_s: float,
     source: str,
     now: float,
     out: list[Effect],
 ) -> RateLimit:
-    """Set the limit of a server and return it; `source` is logged if it changes."""
-    limit = server.rate_limit
+    """Record that a server's limit was heard now, from `source`, and return it."""
+    limit = state.rate_limits.get(key)
     if limit is None or limit.per_s != per_s:
-        _log_limit(service, server, str(per_s), source, out)
+        _log_limit(key, str(per_s), source, out)
     if limit is None:
-        limit = server.rate_limit = RateLimit(per_s=per_s, heard_at=now)
+        limit = RateLimit(
+            per_s=per_s, started=get_started(state, key.server), heard_at=now
+        )
+        limit.bucket.updated = now
+        state.rate_limits[key] = limit
     limit.per_s = per_s
     limit.heard_at = now
+    server = _find_server(state, key)
+    update_bucket(limit, _get_share(state, server), now)
+    if server is not None:
+        server.rate_limit = limit
     return limit
 
 
 def end_rate_limit(
-    service: ServiceRuntime, server: ServerRuntime, source: str, out: list[Effect]
+    state: HostState, key: RateLimitKey, source: str, out: list[Effect]
 ) -> None:
-    """Remove the limit of a server."""
-    server.rate_limit = None
-    _log_limit(service, server, "none", source, out)
+    """Forget the limit of a server, which no longer names it."""
+    if state.rate_limits.pop(key, None) is None:
+        return
+    server = _find_server(state, key)
+    if server is not None:
+        server.rate_limit = None
+    _log_limit(key, "none", source, out)
 
 
-def _is_end_of_limit(limit: RateLimit | None, answer: LimitAnswer) -> bool:
-    if limit is None or not answer.is_success:
-        return False
-    if answer.is_probe and not limit.is_in_probes:
-        return False
-    return answer.sent_at > limit.heard_at
+def assign_rate_limits(
+    state: HostState, service: str, servers: dict[str, ServerRuntime], now: float
+) -> None:
+    """Assign the known limits to the servers of a service whose servers changed.
 
+    Limits of earlier incarnations are forgotten.
+    """
+    for name, server in servers.items():
+        key = RateLimitKey(service=service, server=name)
+        limit = state.rate_limits.get(key)
+        if limit is not None and limit.started != get_started(state, name):
+            del state.rate_limits[key]
+            limit = None
+        server.rate_limit = limit
+        if limit is not None:
+            update_bucket(limit, _get_share(state, server), now)
 
-def _log_limit(
-    service: ServiceRuntime,
-    server: ServerRuntime,
-    per_s: str,
-    source: str,
-    out: list[Effect],
-) -> None:
+
+def forget_rate_limits(state: HostState, service: str, servers: set[str]) -> None:
+    """Forget the limits of servers that are gone."""
+    for name in servers:
+        state.rate_limits.pop(RateLimitKey(service=service, server=name), None)
+
+
+def list_limited_servers(service: ServiceRuntime) -> list[ServerRuntime]:
+    """Return the owned servers of a service that name a limit."""
+    return [server for server in service.owned if server.rate_limit is not None]
+
+
+def _find_server(state: HostState, key: RateLimitKey) -> ServerRuntime | None:
+    service = state.services.get(key.service)
+    return service.servers.get(key.server) if service is not None else None
+
+
+def _get_share(state: HostState, server: ServerRuntime | None) -> float:
+    """Return the share of a server's limit that this host uses as its owner."""
+    own = state.identity.failure_domain
+    if server is None or server.intent.failure_domain == own:
+        return 1.0
+    domains = {member.failure_domain for member in state.members.values()} | {own}
+    return FOREIGN_SHARE / max(1, len(domains) - 1)
+
+
+def _log_limit(key: RateLimitKey, per_s: str, source: str, out: list[Effect]) -> None:
     fields: dict[str, object] = {
-        "service": service.intent.name,
-        "server": server.intent.name,
+        "service": key.service,
+        "server": key.server,
         "per_s": per_s,
         "told_by": source,
     }
--- a/src/siskinpier/core/routing/replies.py
+++ b/src/siskinpier/core/routing/replies.py
@@ -24,7 +24,7 @@
 )
 from .last_slots import record_run
 from .queueing import dispatch_queued_calls
-from .rate_limits import LimitAnswer, handle_limit_answer
+from .rate_limit_answers import LimitAnswer, handle_limit_answer
 from .refusals import refuse_call, remove_call
 from .retrying import record_verdict, retry_if_allowed
 from .run_times import record_run_time
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -44,7 +44,8 @@
 from .hedging import update_hedge_delay
 from .last_slots import record_run
 from .queueing import dispatch_queued_calls
-from .rate_limits import LimitAnswer, handle_limit_answer
+from .rate_limit_answers import LimitAnswer, handle_limit_answer
+from .rate_limit_tokens import return_token
 from .refusals import refuse_call, remove_call
 from .retry_budget import credit_budgets
 from .run_times import record_run_time
@@ -139,6 +140,7 @@
     if message.number is None:
         service.queue.remove(active)
         for attempt in active.list_running_attempts():
+            _return_unused_token(service, attempt, message)
             release_slot(service, attempt, out)
         remove_call(state, active, out)
         dispatch_queued_calls(state, service, now, out)
@@ -146,6 +148,7 @@
     ended = active.find_running_attempt(message.number)
     if ended is None:
         return
+    _return_unused_token(service, ended, message)
     _record_slot_end(state, service, active, ended, message, now, out)
     service.completions.count(now)
     release_slot(service, ended, out)
@@ -154,6 +157,14 @@
     dispatch_queued_calls(state, service, now, out)
 
 
+def _return_unused_token(
+    service: ServiceRuntime, attempt: Attempt, message: SlotEnd
+) -> None:
+    server = service.servers.get(attempt.target)
+    if server is not None and message.use is SlotUse.UNUSED:
+        return_token(server.rate_limit)
+
+
 def handle_slot_grant(
     state: HostState, grant: SlotGrant, sender: str, now: float, out: list[Effect]
 ) -> None:
--- a/src/siskinpier/core/routing/speed_checks.py
+++ b/src/siskinpier/core/routing/speed_checks.py
@@ -15,6 +15,7 @@
 from .balance import ServerRuntime
 from .calls import ActiveCall, Stage
 from .hedging import schedule_hedge
+from .rate_limit_tokens import take_token
 from .run_times import get_typical_run_s
 from .speeds import is_slow
 
@@ -75,6 +76,8 @@
     """
     if server.report is None or is_slow(server, now):
         return False
+    if server.rate_limit is not None:
+        return False  # The probe would use the room of a call.
     slow_period_stats = service.slow_period_stats
     slow_s = slow_period_stats.estimate_begun_slow_s(
         typical_run_s, slow_period_stats.slowdown
@@ -83,14 +86,21 @@
     return probability * (slow_s - typical_run_s) > CHECK_COST_S
 
 
-def make_probe(service: ServiceRuntime, server: ServerRuntime) -> SendProbe:
-    """Return the effect that probes a server."""
-    return SendProbe(
-        service=service.intent.name,
-        server=server.intent.name,
-        address=server.intent.address,
-        path=service.intent.probes.path,
-        timeout_s=PROBE_TIMEOUT_S,
+def send_probe(
+    service: ServiceRuntime, server: ServerRuntime, now: float, out: list[Effect]
+) -> None:
+    """Probe a server."""
+    server.probed_at = now
+    server.unanswered_since = server.unanswered_since or now
+    take_token(server.rate_limit, now)
+    out.append(
+        SendProbe(
+            service=service.intent.name,
+            server=server.intent.name,
+            address=server.intent.address,
+            path=service.intent.probes.path,
+            timeout_s=PROBE_TIMEOUT_S,
+        )
     )
 
 
@@ -119,8 +129,7 @@
     active.check_count += 1
     server.in_flight += 1
     if not server.pending_checks:
-        server.probed_at = now
-        out.append(make_probe(service, server))
+        send_probe(service, server, now, out)
     server.pending_checks[call_id] = choice.reason
     timer = SpeedCheckDue(
         service=service.intent.name, server=server.intent.name, call_id=call_id
--- a/src/siskinpier/core/routing/speeds.py
+++ b/src/siskinpier/core/routing/speeds.py
@@ -16,6 +16,7 @@
 # and the slowdown that is then assumed.
 SILENT_AFTER_S: Final = 0.35
 SILENT_SLOWDOWN: Final = 20.0
+PROBE_LEAD_S: Final = 0.1
 # Slowdown from which a server counts as slow.
 SLOW_FACTOR: Final = 2.0
 # A run that takes up to this many times the usual run time is still ordinary.
@@ -38,10 +39,15 @@
 
 
 def has_stopped_reporting(server: ServerRuntime, now: float) -> bool:
-    """Return True if a server that has reported before leaves probes unanswered."""
-    if server.report is None or server.probed_at <= server.reported_at:
+    """Return True if a server that has reported before leaves probes unanswered.
+
+    Probes come at least `PROBE_LEAD_S` after the last report, and much later if the
+    server names a rate limit.
+    """
+    if server.report is None or server.unanswered_since == 0.0:
         return False
-    return now - server.reported_at > SILENT_AFTER_S
+    since = max(server.reported_at, server.unanswered_since - PROBE_LEAD_S)
+    return now - since > SILENT_AFTER_S
 
 
 def is_slow(server: ServerRuntime, now: float) -> bool:
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -19,6 +19,7 @@
 from .routing.budgets import RateMeter, TokenBucket
 from .routing.call_queue import CallQueue
 from .routing.calls import ActiveCall
+from .routing.rate_limit_tokens import RateLimit
 from .routing.routes import RouteTable
 from .routing.slow_periods import SlowPeriods
 from .routing.suspects import QuarantineState
@@ -214,6 +215,14 @@
     other_relay_heard_at: float = 0.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimitKey:
+    """The names of a service and of its backend server that names a rate limit."""
+
+    service: str
+    server: str
+
+
 @dataclass(slots=True, kw_only=True)
 class HostState:
     """The mutable state of a host; only `reducer.reduce` changes it."""
@@ -260,6 +269,8 @@
     routes: RouteTable = field(default_factory=RouteTable)
     registry: RegistryState = field(default_factory=RegistryState)
     relay: RelayState = field(default_factory=RelayState)
+    # Known rate limits, also of servers that this host does not know yet.
+    rate_limits: dict[RateLimitKey, RateLimit] = field(default_factory=dict)
 
 
 def make_state(
