--- a/src/siskinpier/core/language/service_rows.py
+++ b/src/siskinpier/core/language/service_rows.py
@@ -47,7 +47,7 @@
             "avoided": _get_avoidance_reason(server, now),
             "in flight": server.in_flight,
             "slots": get_slot_limit(server, now),
-            "limit/s": server.rate_limit.per_s if server.rate_limit else "",
+            "rate limit": server.rate_limit.per_s if server.rate_limit else "",
             "reported load": format_cell(server.reported_load),
             "latency ms": round(server.latency_s * 1000, 3),
             "failure share": round(server.failure_share, 3),
