--- a/soak/backend.py
+++ b/soak/backend.py
@@ -17,6 +17,8 @@
 from soak.history import RunBegan, RunEnded, dump_entry
 from tests.standins.process import Receive, Scope, Send, read_body, serve_app
 
+# Requests to this path set the rate limit that the server names.
+LIMIT_PATH: Final = "/control/limit"
 # Length of the periods, each of which is slow or not.
 PERIOD_S: Final = 0.5
 # Share of the periods in which the server is slow, and by how much.
@@ -40,6 +42,8 @@
         self._rng = Random(name)
         self._running = 0
         self._waiting = 0
+        # Value of the rate limit in responses; empty for none.
+        self._limit = b""
         self._free_slots = anyio.Semaphore(slots)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -48,6 +52,10 @@
             return
         headers = {k.decode().lower(): v.decode() for k, v in scope["headers"]}
         body = await read_body(receive)
+        if scope["path"] == LIMIT_PATH:
+            self._limit = body
+            await self._reply(send, 200, [], b"")
+            return
         if scope["path"] == "/health":
             extra = [(b"x-instance-id", self._name.encode())]
             await self._reply(send, 200, extra, b"")
@@ -119,6 +127,8 @@
     ) -> None:
         slow = int(100 * self._compute_slowdown())
         load = f"{self._running},{self._waiting},{self._slots},{slow}"
+        if self._limit:
+            extra = [*extra, (b"server-limit", self._limit)]
         headers = [
             *extra,
             (b"x-server-load", load.encode()),
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -21,10 +21,12 @@
     HostExited,
     HostGrown,
     HostUnready,
+    LimitNamed,
     RunBegan,
     RunEnded,
     Sent,
 )
+from .limit_rule import LimitRule
 from .schedule import ALL_HOSTS
 
 # Times that the platform sets, seconds, up to `LOSS_SLACK_S`.
@@ -90,6 +92,7 @@
         # Lowest configuration version that a host may use, and the time of the run that
         # showed it, by host and its number of starts.
         self._min_versions: dict[tuple[str, int], tuple[int, float]] = {}
+        self._limit_rule = LimitRule()
 
     def check_entry(self, entry: Entry) -> None:
         """Check one more entry of the history."""
@@ -109,6 +112,8 @@
                 self._configured.append(entry)
             case Drained(at=at, server=server):
                 self._drained.setdefault(server, at)
+            case LimitNamed():
+                self._limit_rule.record_limit(entry)
             case FaultBegan(number=number):
                 self._faults[number] = _Fault(began=entry)
             case FaultEnded(at=at, number=number):
@@ -127,6 +132,9 @@
             self._check_answer(request)
             if self._has_time_limits:
                 self._check_loss(request)
+        if self._has_time_limits:
+            for at, text in self._limit_rule.find_violations(self._is_connected):
+                self._add_violation("limit", at, text)
         for runs in self._early_runs.values():
             self._add_violation(
                 "unasked", runs[0].at, f"{runs[0].request} was never sent"
@@ -154,6 +162,8 @@
     def _handle_end(self, entry: Ended) -> None:
         request = self._requests[entry.request]
         request.ended = entry
+        if entry.ending is Ending.ANSWERED:
+            self._limit_rule.record_answer(entry, request.sent.host)
         if entry.ending is Ending.ANSWERED and entry.status < 300:
             self.served_count += 1
         if request.runs:
@@ -168,6 +178,7 @@
             return
         request.runs.append(run)
         sent = request.sent
+        self._limit_rule.record_run(run, sent.host)
         if run.path != sent.path or run.body_digest != sent.body_digest:
             self._add_violation(
                 "changed", run.at, f"{run.request} ran with another path or body"
--- a/soak/history.py
+++ b/soak/history.py
@@ -91,6 +91,15 @@
     server: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitNamed:
+    """A backend server begins to name a rate limit, or with None, stops to."""
+
+    at: float
+    server: str
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FaultBegan:
     """A fault begins on a host, a backend server, a link or the store.
@@ -153,6 +162,7 @@
     | RunEnded
     | Configured
     | Drained
+    | LimitNamed
     | FaultBegan
     | FaultEnded
     | HostExited
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -21,7 +21,7 @@
 )
 from siskinpier.core.effects import Effect
 from siskinpier.core.messages import RegisteredServer
-from siskinpier.core.routing import retrying
+from siskinpier.core.routing import balance, retrying
 from siskinpier.core.state import HostState
 from siskinpier.edge.backends import BackendClient, BackendReply
 from siskinpier.edge.headers import Headers
@@ -119,6 +119,11 @@
     registry._make_server = make_active
 
 
+def _ignore_limits() -> None:
+    """Send to servers without regard to the rate limits that they name."""
+    balance.has_token = lambda limit, now: True  # type: ignore[attr-defined]
+
+
 def _end_later() -> None:
     """End by itself after `PLANTED_AFTER_S`."""
     _run_later(partial(os._exit, 3))
@@ -153,6 +158,7 @@
     "old-configuration": (_roll_back_configuration, {"regress", "config"}),
     "swapped-answer": (_swap_responses, {"mixed", "unasked", "twice", "changed"}),
     "ignored-drain": (_ignore_drains, {"drain"}),
+    "ignored-limit": (_ignore_limits, {"limit"}),
     "self-ended": (_end_later, {"ended"}),
     "ended-by-reload": (_end_at_reload, {"ended"}),
     "hung": (_hang, {"unready"}),
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -16,10 +16,15 @@
 from pathlib import Path
 from typing import Final
 
+import httpx
+
 from tests.standins.process import ROOT, StandIn
 
+from .backend import LIMIT_PATH
 from .host import CLOCK_VARIABLE, PLANTED_VARIABLE
 
+LOOPBACK: Final = "127.0.0.1"
+CONTROL_TIMEOUT_S: Final = 2.0
 STOP_GRACE_S: Final = 6.0
 KILL_TIMEOUT_S: Final = 5.0
 # Processor time after which the interpreter has long begun to run the host's own code,
@@ -275,3 +280,14 @@
         args = ["--name", name, "--service", service, "--journal", str(journal)]
         args += ["--slots", str(slots), "--work-ms", str(work_ms)]
         super().__init__(module="soak.backend", args=args)
+
+    async def set_limit(self, per_s: float | None) -> bool:
+        """Let the server name a rate limit, or none; return False if it is gone."""
+        value = "" if per_s is None else str(per_s)
+        url = f"http://{LOOPBACK}:{self.port}{LIMIT_PATH}"
+        try:
+            async with httpx.AsyncClient(trust_env=False, verify=False) as client:
+                await client.post(url, content=value, timeout=CONTROL_TIMEOUT_S)
+        except httpx.HTTPError:
+            return False
+        return True
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
     Entry,
     FaultBegan,
     FaultEnded,
+    LimitNamed,
     dump_entry,
 )
 from .host_faults import HostFaults
@@ -44,6 +45,9 @@
 MIN_SUCCESS_SHARE: Final = 0.9
 # A draining server serves for this long after its entry says so, then exits.
 DRAINING_S: Final = 4.0
+# Rate limits that servers name, requests per second, and for how long.
+LIMITS_PER_S: Final = (1.0, 0.0, 2.5, 6.0)
+LIMITED_S: Final = 9.0
 # Number of entries that another writer puts at once.
 ODD_ENTRY_COUNT: Final = 8
 
@@ -192,6 +196,8 @@
                 await self._pause_server(fault)
             case FaultKind.SERVER_DRAIN | FaultKind.SERVER_REUSE:
                 await self._drain_server(fault)
+            case FaultKind.SERVER_LIMIT:
+                await self._limit_server(fault)
             case FaultKind.CONFIGURE:
                 self._configuration_count += 1
                 self._record_entry(
@@ -246,6 +252,22 @@
             service = SERVICES[(SERVICES.index(service) + 1) % len(SERVICES)]
         await self._replace_server(fault.target, service)
 
+    async def _limit_server(self, fault: ScheduledFault) -> None:
+        """Let a server name a rate limit, long enough for the rule to apply."""
+        server = self._deployment.servers[fault.target]
+        per_s = fault.choose(LIMITS_PER_S)
+        if not await server.set_limit(per_s):
+            return
+        self._record_entry(
+            LimitNamed(at=time.monotonic(), server=server.name, per_s=per_s)
+        )
+        await anyio.sleep(LIMITED_S)
+        # The rule holds until the server stops to name it.
+        self._record_entry(
+            LimitNamed(at=time.monotonic(), server=server.name, per_s=None)
+        )
+        await server.set_limit(None)
+
     async def _inject_link_fault(self, fault: ScheduledFault) -> None:
         link = self._deployment.links[fault.target]
         link_fault = LinkFault(fault.kind.effect)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -14,6 +14,7 @@
 TAIL_S: Final = 5.0
 FAULTS_PER_S: Final = 0.7
 START_FAULTS_PER_S: Final = 0.5
+LIMITS_PER_S: Final = 0.1
 MAX_FAULT_S: Final = 4.0
 MIN_FAULT_S: Final = 0.2
 # Probability that a fault starts a series, the number of faults in a series, and the
@@ -71,6 +72,8 @@
     HOST_STORM = "host-storm"
     # Another writer puts an entry that cannot be used into the store.
     STORE_ODD = "store-odd"
+    # A backend server names a rate limit for a while.
+    SERVER_LIMIT = "server-limit"
 
     @property
     def group(self) -> str:
@@ -83,9 +86,14 @@
         return self.value.partition("-")[2]
 
 
-# The schedule of the other kinds is drawn separately: seeds that failed before these
+# The schedules of later kinds are drawn separately: seeds that failed before these
 # kinds were added keep their meaning.
-START_KINDS: Final = list(FaultKind)[list(FaultKind).index(FaultKind.HOST_HUPS) :]
+LIMIT_KINDS: Final = [FaultKind.SERVER_LIMIT]
+START_KINDS: Final = [
+    kind
+    for kind in list(FaultKind)[list(FaultKind).index(FaultKind.HOST_HUPS) :]
+    if kind not in LIMIT_KINDS
+]
 # Kinds that hosts do not withstand yet; they are drawn and left out.
 LEFT_OUT_KINDS: Final[frozenset[FaultKind]] = frozenset()
 ALL_HOSTS: Final = "hosts"
@@ -136,16 +144,20 @@
     left_out: frozenset[FaultKind] = LEFT_OUT_KINDS,
 ) -> list[ScheduledFault]:
     """Return the faults of a run of `length_s` seconds, sorted by start."""
-    kinds = [kind for kind in FaultKind if kind not in START_KINDS]
+    kinds = [kind for kind in FaultKind if kind not in START_KINDS + LIMIT_KINDS]
     draw = _Draw(rng=Random(seed), kinds=kinds, hosts=hosts, servers=servers)
     drawn = draw.draw_faults(length_s - TAIL_S, FAULTS_PER_S, 0)
-    draw = _Draw(
-        rng=Random(f"{seed}/start"),
-        kinds=START_KINDS,
-        hosts=hosts,
-        servers=servers,
-    )
-    drawn += draw.draw_faults(length_s - TAIL_S, START_FAULTS_PER_S, len(drawn))
+    for name, later_kinds, per_s in (
+        ("start", START_KINDS, START_FAULTS_PER_S),
+        ("limit", LIMIT_KINDS, LIMITS_PER_S),
+    ):
+        draw = _Draw(
+            rng=Random(f"{seed}/{name}"),
+            kinds=later_kinds,
+            hosts=hosts,
+            servers=servers,
+        )
+        drawn += draw.draw_faults(length_s - TAIL_S, per_s, len(drawn))
     kept = [fault for fault in drawn if fault.kind not in left_out]
     return sorted(kept, key=lambda fault: (fault.at, fault.number))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,7 @@
     HostExited,
     HostGrown,
     HostUnready,
+    LimitNamed,
     RunBegan,
     RunEnded,
     Sent,
@@ -446,3 +447,62 @@
         assert outcome.violations == []
         assert outcome.served_count > 0
         shutil.rmtree(tmp_path)
+
+
+class TestLimitRule:
+    """The checker counts what servers with a rate limit get from told hosts."""
+
+    PER_S = 1.0
+    NAMED_AT = 10.0
+
+    def check(self, rate: float, *more: Entry, told: bool = True) -> list[str]:
+        """Return the rules violated by runs at a rate per second from one host."""
+        checker = Checker()
+        checker.check_entry(Configured(at=0.0, version=7, services={"search": "films"}))
+        for entry in more:
+            checker.check_entry(entry)
+        checker.check_entry(
+            LimitNamed(at=self.NAMED_AT, server="s0-1", per_s=self.PER_S)
+        )
+        for n in range(int(rate * 9.0)):
+            at = self.NAMED_AT + n / rate
+            sent = make_sent(at, f"c-{n}")
+            checker.check_entry(sent)
+            run = RunBegan(
+                at=at,
+                request=sent.request,
+                server="s0-1",
+                service="films",
+                path=sent.path,
+                body_digest=sent.body_digest,
+            )
+            checker.check_entry(run)
+            checker.check_entry(
+                RunEnded(at=at, request=sent.request, server="s0-1", status=200)
+            )
+            signature = f"s0-1.{sent.request}" if told else ""
+            ended = Ended(
+                at=at,
+                request=sent.request,
+                ending=Ending.ANSWERED,
+                status=200 if told else 502,
+                signature=signature,
+                told_request=sent.request,
+            )
+            checker.check_entry(ended)
+        return [violation.rule for violation in checker.finish()]
+
+    def test_allowed_rate(self) -> None:
+        assert self.check(2.5) == []
+
+    def test_higher_rate(self) -> None:
+        assert self.check(4.0) == ["limit"]
+
+    def test_host_that_was_not_told(self) -> None:
+        assert self.check(4.0, told=False) == []
+
+    def test_host_with_a_fault(self) -> None:
+        fault = FaultBegan(
+            at=11.0, number=1, kind="host-kill", target="h0", planned=False
+        )
+        assert self.check(4.0, fault) == []
