Detect and log that a host reaches no backend server

A host where homes grant slots now suspects its isolation when no server replied for 0.25 s or two usual runs, or two servers failed since the last reply; it probes three, and is isolated if no server replies within 0.3 s. Two rounds of probes with two replying servers end it. Lines isolation-check and isolation, metrics siskinpier_isolated and siskinpier_granted_slots (by holder). No decision depends on it yet, so the fault stands.

The probe budget of the product's own deployments binds every probe, so nothing is probed there for this. test_docs.py, test_slots.py, test_slow_servers.py, test_probing.py, test_hedging.py, test_cluster.py and test_rate_limits.py pass.

--- a/bench/virtual/host.py
+++ b/bench/virtual/host.py
@@ -545,6 +545,7 @@
                     service=effect.service,
                     server=effect.server,
                     latency_s=rtt_s if is_healthy else None,
+                    has_reply=reply is not None,
                     draining=draining,
                     bytes_used=PROBE_BYTES,
                 )
--- a/src/siskinpier/core/events.py
+++ b/src/siskinpier/core/events.py
@@ -94,12 +94,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProbeAnswered:
-    """A probe ended; `latency_s` is None if no healthy answer arrived."""
+    """A probe ended; `latency_s` is None if no healthy answer arrived.
+
+    `has_reply` is set if the server answered, with whatever status.
+    """
 
     now: float
     service: str
     server: str
     latency_s: float | None
+    has_reply: bool = False
     draining: bool = False
     # A server other than the intended one answered at its address.
     is_other_server: bool = False
--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -103,9 +103,15 @@
     handle_call_cancelled,
     handle_call_failed,
 )
+from .routing.attempts import find_call_of_attempt
 from .routing.dispatch import handle_spare_notice
 from .routing.forwarding import handle_spare_notice_due
 from .routing.hedging import handle_hedge_due
+from .routing.isolation import (
+    record_server_failure,
+    record_server_reply,
+    run_isolation_check,
+)
 from .routing.probing import handle_probe_answered, run_probing
 from .routing.quarantine import (
     clear_disproved_suspicions,
@@ -139,6 +145,7 @@
     HedgeDue,
     HeldEntryExpiryDue,
     IntentsPollDue,
+    IsolationCheckDue,
     OrderRetry,
     PauseDue,
     ProbesDue,
@@ -177,11 +184,13 @@
         case CallArrived():
             handle_call_arrived(state, event, out)
         case ReplyStarted():
+            _record_reply(state, event)
             handle_reply_started(state, event, out)
         case ReplyFinished():
             clear_disproved_suspicions(state, event, out)
             handle_reply_finished(state, event, out)
         case AttemptFailed():
+            _record_failure(state, event)
             suspect_crash(state, event, out)
             handle_attempt_failed(state, event, out)
         case CallCancelled():
@@ -195,6 +204,8 @@
         case PeerRefused():
             handle_peer_refused(state, event, out)
         case ProbeAnswered():
+            if event.has_reply:
+                record_server_reply(state, event.server, event.now)
             handle_probe_answered(state, event, out)
         case HostsListed():
             handle_hosts_listed(state, event, out)
@@ -237,10 +248,25 @@
             else:
                 start_poll(state, out)
             run_probing(state, now, out)
+            if state.settings.grants_slots:
+                run_isolation_check(state, now, out)
         case ShutdownRequested(now=now):
             start_shutdown(state, now, out)
 
 
+def _record_reply(state: HostState, event: ReplyStarted) -> None:
+    active = find_call_of_attempt(state, event.call_id, event.attempt)
+    if active is not None and active.attempt and not active.attempt.is_forward:
+        record_server_reply(state, active.attempt.target, event.now)
+
+
+def _record_failure(state: HostState, event: AttemptFailed) -> None:
+    active = find_call_of_attempt(state, event.call_id, event.attempt)
+    if active is not None and active.attempt and not active.attempt.is_forward:
+        server = active.attempt.target
+        record_server_failure(state, server, event.failure, event.now)
+
+
 def _run_heartbeat(state: HostState, now: float, out: list[Effect]) -> None:
     run_heartbeat(state, now, out)
     if not state.settings.servers_register:
@@ -259,6 +285,8 @@
             start_poll(state, out)
         case ProbesDue():
             run_probing(state, now, out)
+        case IsolationCheckDue():
+            run_isolation_check(state, now, out)
         case ShutdownCheckDue():
             run_shutdown_check(state, now, out)
         case OrderRetry(request_id=request_id):
--- a/src/siskinpier/core/state.py
+++ b/src/siskinpier/core/state.py
@@ -215,6 +215,39 @@
     other_relay_heard_at: float = 0.0
 
 
+@unique
+class IsolationStatus(StrEnum):
+    """Whether this host reaches backend servers."""
+
+    CONNECTED = "connected"
+    # Several servers are probed, because none of them was heard.
+    CHECKING = "checking"
+    ISOLATED = "isolated"
+
+
+@dataclass(slots=True, kw_only=True)
+class Isolation:
+    """What this host knows of its path to all backend servers; times in seconds.
+
+    `failed_servers` failed since `last_reply_at`, the last reply of any server.
+    `checked_at` is when the last probes of a check, or of a round while isolated, were
+    sent, and `pass_at` when the last pass ran. `replying_servers` replied in the
+    current round, and `good_rounds` is the number of successive rounds with enough of
+    them. `episodes` counts the isolations in short succession.
+    """
+
+    status: IsolationStatus = IsolationStatus.CONNECTED
+    last_reply_at: float = 0.0
+    failed_servers: set[str] = field(default_factory=set)
+    checked_at: float = 0.0
+    pass_at: float = 0.0
+    isolated_at: float = 0.0
+    ended_at: float = 0.0
+    episodes: int = 0
+    replying_servers: set[str] = field(default_factory=set)
+    good_rounds: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RateLimitKey:
     """The names of a service and of its backend server that names a rate limit."""
@@ -269,6 +302,7 @@
     routes: RouteTable = field(default_factory=RouteTable)
     registry: RegistryState = field(default_factory=RegistryState)
     relay: RelayState = field(default_factory=RelayState)
+    isolation: Isolation = field(default_factory=Isolation)
     # Known rate limits, also of servers that this host does not know yet.
     rate_limits: dict[RateLimitKey, RateLimit] = field(default_factory=dict)
 
--- a/src/siskinpier/core/timers.py
+++ b/src/siskinpier/core/timers.py
@@ -25,6 +25,11 @@
     """Time to send the next probes within the probe budget."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class IsolationCheckDue:
+    """Time to check whether this host reaches any backend server."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShutdownCheckDue:
     """Time to check whether a graceful shutdown can be completed."""
@@ -127,6 +132,7 @@
     | HeartbeatDue
     | IntentsPollDue
     | ProbesDue
+    | IsolationCheckDue
     | ShutdownCheckDue
     | OrderRetry
     | ClaimsDue
--- a/src/siskinpier/edge/shell.py
+++ b/src/siskinpier/edge/shell.py
@@ -525,7 +525,7 @@
         latency_s: float | None = None
         pause_s: float | None = None
         rate_limit: RateLimitReport | None = None
-        draining = is_other_server = False
+        has_reply = draining = is_other_server = False
         report: LoadReport | None = None
         size = 0
         with anyio.move_on_after(effect.timeout_s):
@@ -537,6 +537,7 @@
                     headers=PROBE_HEADERS,
                     body=b"",
                 )
+                has_reply = True
                 try:
                     size = await reply.skip_body(limit_bytes=PROBE_BODY_LIMIT_BYTES)
                 finally:
@@ -559,6 +560,7 @@
                 service=effect.service,
                 server=effect.server,
                 latency_s=latency_s,
+                has_reply=has_reply,
                 draining=draining,
                 is_other_server=is_other_server,
                 bytes_used=size,
--- a/src/siskinpier/metrics.py
+++ b/src/siskinpier/metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of one host."""
 
+from collections import Counter as Counts
 from collections.abc import Callable, Iterator, Mapping
 from types import MappingProxyType
 from typing import Final
@@ -20,7 +21,8 @@
 
 from .core.cluster.revisions import list_hosts_behind
 from .core.cluster.views import list_live_hosts
-from .core.state import HostState
+from .core.routing.calls import Stage
+from .core.state import HostState, IsolationStatus
 
 LATENCY_BUCKETS_S: Final = (
     0.001,
@@ -132,6 +134,13 @@
         shards = state.claims.shards.values()
         claims.add_metric([], sum(len(shard.entries) for shard in shards))
         yield claims
+        isolated = _make_gauge(
+            "isolated", "1 while this host reaches no backend server, else 0."
+        )
+        is_isolated = state.isolation.status is IsolationStatus.ISOLATED
+        isolated.add_metric([], float(is_isolated))
+        yield isolated
+        yield _make_granted_slots(state)
         hosts = _make_gauge("live_hosts", "Entry hosts that are live from here.")
         hosts.add_metric([], len(list_live_hosts(state, now)))
         yield hosts
@@ -143,6 +152,21 @@
         yield behind
 
 
+def _make_granted_slots(state: HostState) -> GaugeMetricFamily:
+    """Return the slots that this host granted, by the host that holds them."""
+    granted = _make_gauge(
+        "granted_slots", "Slots granted here that are in use.", "service", "holder"
+    )
+    counts = Counts(
+        (active.call.service, active.holder)
+        for active in state.calls.values()
+        if active.holder and active.stage is Stage.SENT
+    )
+    for (service, holder), count in counts.items():
+        granted.add_metric([service, holder], count)
+    return granted
+
+
 def _make_gauge(name: str, meaning: str, *labels: str) -> GaugeMetricFamily:
     return GaugeMetricFamily(f"siskinpier_{name}", meaning, labels=labels)
 
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -469,6 +469,7 @@
                 service=service,
                 server=server,
                 latency_s=0.001,
+                has_reply=True,
                 report=self.servers[server].report(self.now),
                 draining=self.servers[server].reports_leaving,
                 pause_s=self.servers[server].pause_s,
