--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -8,6 +8,7 @@
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from enum import StrEnum, unique
 from itertools import count
 from math import floor
 from random import Random
@@ -34,6 +35,7 @@
     WatchIntents,
 )
 from siskinpier.core.events import (
+    AttemptFailed,
     CallArrived,
     Event,
     HostsListed,
@@ -51,14 +53,18 @@
 from siskinpier.core.messages import Message, RegisteredServer
 from siskinpier.core.positions import StorePosition
 from siskinpier.core.reducer import reduce
-from siskinpier.core.routing.calls import Call, LoadReport, RateLimitReport
+from siskinpier.core.routing.calls import Call, LoadReport, RateLimitReport, Stage
 from siskinpier.core.state import CoreSettings, HostIdentity, HostState, make_state
-from siskinpier.core.verdict import Verdict
+from siskinpier.core.verdict import AttemptFailure, Verdict
 
 NEAR_DELAY_S: Final = 0.0002
 FAR_DELAY_S: Final = 0.0014
 WATCH_DELAY_S: Final = 0.01
 REJECT_DELAY_S: Final = 0.002
+# Time until a connection that cannot be opened, or hangs, is given up.
+CONNECT_TIMEOUT_S: Final = 0.25
+USER_TIMEOUT_S: Final = 1.5
+PROBE_TIMEOUT_S: Final = 1.0
 VIRTUAL_HOST: Final = "films.example"
 # Calls whose ids have this prefix take another route, and this little work in seconds.
 QUICK_PREFIX: Final = "quick"
@@ -188,6 +194,15 @@
         return self.neighbours.compute_run_s(work_s * get_work_factor(call_id), now)
 
 
+@unique
+class ServerCut(StrEnum):
+    """What a host's connections to the servers do while it is cut off from them."""
+
+    # Open connections hang, and new ones are not answered.
+    HANG = "hang"
+    RESET = "reset"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerRequest:
     """A call or probe that a host sent to a server."""
@@ -242,6 +257,12 @@
         self.dead: set[str] = set()
         # Hosts that the platform does not answer.
         self.without_platform: set[str] = set()
+        # Hosts that are cut off from all servers.
+        self.server_cuts: dict[str, ServerCut] = {}
+        # Calls forwarded to a host, by its name and call id: the sender's attempt.
+        self._forwards: dict[tuple[str, str], tuple[str, SendAttempt]] = {}
+        # Calls at each host, which another host needs in order to forward them.
+        self._calls: dict[str, Call] = {}
         # Whether to lose a message, from its sender, receiver and content.
         self.drop: Callable[[str, str, Message], bool] = lambda a, b, m: False
         self._arrived: dict[str, float] = {}
@@ -271,6 +292,7 @@
             size=0,
         )
         self._arrived[call_id] = self.now
+        self._calls[call_id] = call
         self.handle(host, CallArrived(now=self.now, call=call))
 
     def run_for(self, duration_s: float) -> None:
@@ -386,6 +408,8 @@
 
     def _perform(self, host: str, effect: Effect) -> None:
         match effect:
+            case SendAttempt(is_forward=True):
+                self._forward(host, effect)
             case SendAttempt():
                 self._send(host, effect)
             case AbandonAttempt(call_id=call_id, attempt=attempt):
@@ -399,8 +423,12 @@
             case SendProbe(service=service, server=server):
                 self._probe(host, service, server)
             case RefuseCall(call_id=call_id, problem=problem):
-                self._record_answer(
-                    call_id, problem.status, problem.verdict, problem.retry_after_s
+                self._answer(
+                    host,
+                    call_id,
+                    problem.status,
+                    problem.verdict,
+                    problem.retry_after_s,
                 )
             case LogDecision():
                 self.logs.append((host, effect))
@@ -413,6 +441,87 @@
         if host not in self.without_platform:
             self.handle(host, PlatformReached(now=self.now))
 
+    def _answer(
+        self,
+        host: str,
+        call_id: str,
+        status: int,
+        verdict: Verdict,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Answer the caller of a host, or the host that forwarded the call."""
+        forward = self._forwards.pop((host, call_id), None)
+        if forward is None:
+            self._record_answer(call_id, status, verdict, retry_after_s)
+            return
+        sender, effect = forward
+        self.after(
+            self._get_delay_s(host, sender),
+            lambda: self._finish_forward(sender, effect, status, verdict),
+        )
+
+    def _finish_forward(
+        self, sender: str, effect: SendAttempt, status: int, verdict: Verdict
+    ) -> None:
+        if (sender, effect.call_id, effect.attempt) in self._cancelled:
+            return
+        started = ReplyStarted(
+            now=self.now,
+            call_id=effect.call_id,
+            attempt=effect.attempt,
+            status=status,
+            verdict=verdict,
+        )
+        self.handle(sender, started)
+        active = self.states[sender].calls.get(effect.call_id)
+        if active is None or active.stage is not Stage.RELAYING:
+            return
+        self._answer(sender, effect.call_id, status, verdict)
+        self.handle(
+            sender,
+            ReplyFinished(
+                now=self.now,
+                call_id=effect.call_id,
+                attempt=effect.attempt,
+                size=100,
+            ),
+        )
+
+    def _forward(self, host: str, effect: SendAttempt) -> None:
+        peer = effect.target
+        if peer in self.dead:
+            self.after(
+                CONNECT_TIMEOUT_S,
+                lambda: self._fail(host, effect, AttemptFailure.CONNECT_TIMEOUT),
+            )
+            return
+        call = replace(
+            self._calls[effect.call_id],
+            hops=1,
+            deadline=self.now + effect.timeout_s,
+            at_most_once=effect.at_most_once,
+        )
+        self._forwards[peer, effect.call_id] = (host, effect)
+        self.after(
+            self._get_delay_s(host, peer),
+            lambda: self.handle(peer, CallArrived(now=self.now, call=call)),
+        )
+
+    def _fail(self, host: str, effect: SendAttempt, failure: AttemptFailure) -> None:
+        if (host, effect.call_id, effect.attempt) in self._cancelled:
+            return
+        event = AttemptFailed(
+            now=self.now,
+            call_id=effect.call_id,
+            attempt=effect.attempt,
+            failure=failure,
+        )
+        self.handle(host, event)
+
+    def _get_delay_s(self, host: str, other: str) -> float:
+        is_near = self.domains[host] == self.domains[other]
+        return NEAR_DELAY_S if is_near else FAR_DELAY_S
+
     def _record_answer(
         self,
         call_id: str,
@@ -443,7 +552,6 @@
         self.messages += 1
         if to not in self.states or self.drop(sender, to, message):
             return
-        is_near = self.domains[sender] == self.domains[to]
         event = MessageReceived(now=0.0, sender=sender, message=message)
 
         def arrive() -> None:
@@ -455,11 +563,19 @@
                     ),
                 )
 
-        self.after(NEAR_DELAY_S if is_near else FAR_DELAY_S, arrive)
+        self.after(self._get_delay_s(sender, to), arrive)
 
     def _probe(self, host: str, service: str, server: str) -> None:
         request = ServerRequest(at=self.now, host=host, server=server, is_probe=True)
         self.requests.append(request)
+        cut = self.server_cuts.get(host)
+        if cut is not None:
+            lost = ProbeAnswered(
+                now=self.now, service=service, server=server, latency_s=None
+            )
+            delay_s = PROBE_TIMEOUT_S if cut is ServerCut.HANG else REJECT_DELAY_S
+            self.after(delay_s, lambda: self.handle(host, replace(lost, now=self.now)))
+            return
 
         def answer() -> None:
             if self.servers[server].is_silent:
@@ -482,6 +598,9 @@
 
     def _send(self, host: str, effect: SendAttempt) -> None:
         server = self.servers[effect.target]
+        if host in self.server_cuts:
+            self._send_into_cut(host, effect)
+            return
         self.arrivals.append((self.now, effect.call_id))
         self.requests.append(ServerRequest(at=self.now, host=host, server=server.name))
         if server.is_rejecting(effect.call_id):
@@ -497,6 +616,8 @@
             server.running -= 1
             if server.is_silent or key in self._cancelled or host in self.dead:
                 return
+            if host in self.server_cuts:
+                return  # The answer is lost; the connection hangs.
             started = ReplyStarted(
                 now=self.now,
                 call_id=effect.call_id,
@@ -518,10 +639,20 @@
                     size=100,
                 ),
             )
-            self._record_answer(effect.call_id, server.status, Verdict.RAN)
+            self._answer(host, effect.call_id, server.status, Verdict.RAN)
 
         self.after(server.get_run_s(effect.call_id, self.now), finish)
 
+    def _send_into_cut(self, host: str, effect: SendAttempt) -> None:
+        """Fail a call that its host cannot send, half of them on a new connection."""
+        if self.server_cuts[host] is ServerCut.RESET:
+            failure, delay_s = AttemptFailure.RESET, REJECT_DELAY_S
+        elif Random(f"{host}/{effect.call_id}").random() < 0.5:
+            failure, delay_s = AttemptFailure.CONNECT_TIMEOUT, CONNECT_TIMEOUT_S
+        else:
+            failure, delay_s = AttemptFailure.RESET, USER_TIMEOUT_S
+        self.after(delay_s, lambda: self._fail(host, effect, failure))
+
     def _reject(self, host: str, effect: SendAttempt, server: ScriptedServer) -> None:
         """Reject a call: as another server, or as one that requests a pause."""
         self.misdirected += server.is_replaced
@@ -538,7 +669,7 @@
         self.handle(host, started)
         if effect.call_id in self.states[host].calls or effect.call_id in self.answers:
             return  # It is retried elsewhere, or was refused.
-        self._record_answer(effect.call_id, 503, Verdict.NOT_RUN)
+        self._answer(host, effect.call_id, 503, Verdict.NOT_RUN)
 
 
 def make_route(**changes: object) -> Route:
