--- a/soak/checker.py
+++ b/soak/checker.py
@@ -20,12 +20,14 @@
     FaultEnded,
     HostExited,
     HostGrown,
+    HostIsolated,
     HostUnready,
     LimitNamed,
     RunBegan,
     RunEnded,
     Sent,
 )
+from .isolation_rule import IsolationRule
 from .limit_rule import LimitRule
 from .schedule import ALL_HOSTS
 
@@ -93,6 +95,7 @@
         # showed it, by host and its number of starts.
         self._min_versions: dict[tuple[str, int], tuple[int, float]] = {}
         self._limit_rule = LimitRule()
+        self._isolation_rule = IsolationRule()
 
     def check_entry(self, entry: Entry) -> None:
         """Check one more entry of the history."""
@@ -112,6 +115,8 @@
                 self._configured.append(entry)
             case Drained(at=at, server=server):
                 self._drained.setdefault(server, at)
+            case HostIsolated():
+                self._isolation_rule.record_isolation(entry)
             case LimitNamed():
                 self._limit_rule.record_limit(entry)
             case FaultBegan(number=number):
@@ -133,8 +138,12 @@
             if self._has_time_limits:
                 self._check_loss(request)
         if self._has_time_limits:
-            for at, text in self._limit_rule.find_violations(self._is_connected):
-                self._add_violation("limit", at, text)
+            for rule, found in (
+                ("limit", self._limit_rule.find_violations(self._is_connected)),
+                ("isolated", self._isolation_rule.find_violations(self._is_connected)),
+            ):
+                for at, text in found:
+                    self._add_violation(rule, at, text)
         for runs in self._early_runs.values():
             self._add_violation(
                 "unasked", runs[0].at, f"{runs[0].request} was never sent"
@@ -162,6 +171,7 @@
     def _handle_end(self, entry: Ended) -> None:
         request = self._requests[entry.request]
         request.ended = entry
+        self._isolation_rule.record_end(request.sent, entry)
         if entry.ending is Ending.ANSWERED:
             self._limit_rule.record_answer(entry, request.sent.host)
         if entry.ending is Ending.ANSWERED and entry.status < 300:
--- a/soak/history.py
+++ b/soak/history.py
@@ -100,6 +100,15 @@
     per_s: float | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostIsolated:
+    """A host loses its path to all backend servers, or has it again."""
+
+    at: float
+    host: str
+    isolated: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FaultBegan:
     """A fault begins on a host, a backend server, a link or the store.
@@ -163,6 +172,7 @@
     | Configured
     | Drained
     | LimitNamed
+    | HostIsolated
     | FaultBegan
     | FaultEnded
     | HostExited
--- a/soak/host.py
+++ b/soak/host.py
@@ -1,4 +1,4 @@
-"""Runs the deployed program with a shifted wall clock or a planted bug.
+"""Runs the deployed program with a shifted clock, a planted bug or without servers.
 
 It loads nothing else before, so that the program's own start is the same.
 """
@@ -10,6 +10,8 @@
 
 CLOCK_VARIABLE: Final = "SOAK_CLOCK_OFFSET_S"
 PLANTED_VARIABLE: Final = "SOAK_PLANTED"
+# Path of the file while which exists the host reaches no backend server.
+ISOLATION_VARIABLE: Final = "SOAK_ISOLATION_FILE"
 
 
 def shift_clock(offset_s: float) -> None:
@@ -28,4 +30,11 @@
         from .planted import plant
 
         plant(name)
+    if os.environ.get(ISOLATION_VARIABLE):
+        from siskinpier.signals import SIGNALS
+
+        SIGNALS.open()
+        from .isolated_host import isolate_while_file_exists
+
+        isolate_while_file_exists()
     runpy.run_module("siskinpier.platform", run_name="__main__", alter_sys=True)
--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from .history import HostExited
+from .history import HostExited, HostIsolated
 from .odd_entries import make_odd_settings
 from .processes import NO_OUTPUT, SPARE_SETTINGS, HostProcess
 from .schedule import ALL_HOSTS, FaultKind, ScheduledFault
@@ -23,6 +23,11 @@
 STORM_ROUNDS: Final = 3
 DESCRIPTOR_LIMIT: Final = 64
 CONNECTION_COUNT: Final = 100
+# Time from the start of a host until it is isolated, for how long, and how often it is
+# checked meanwhile whether another fault has started it again, in seconds.
+ISOLATION_LEAD_S: Final = 3.0
+ISOLATED_S: Final = 8.0
+ISOLATION_CHECK_S: Final = 0.1
 
 
 class HostFaults:
@@ -33,7 +38,7 @@
         *,
         seed: int,
         hosts: dict[str, HostProcess],
-        record: Callable[[HostExited], None],
+        record: Callable[[HostExited | HostIsolated], None],
         has_time_limits: bool,
     ) -> None:
         self._seed = seed
@@ -67,6 +72,8 @@
                 host.kill()
                 await anyio.sleep(fault.for_s)
                 host.start(sign * CLOCK_JUMP_S if is_shifted else 0.0)
+            case FaultKind.HOST_ISOLATE:
+                await self._isolate(host)
             case FaultKind.HOST_STOP:
                 await self.stop(host)
                 await anyio.sleep(fault.for_s)
@@ -79,6 +86,23 @@
                     host.start()
                     await anyio.sleep(fault.for_s)
 
+    async def _isolate(self, host: HostProcess) -> None:
+        """Start a host again, and cut it off from all servers for a while."""
+        host.kill()
+        host.start(can_be_isolated=True)
+        life = host.start_count
+        await anyio.sleep(ISOLATION_LEAD_S)
+        if host.start_count != life or host.is_stopping:
+            return
+        name = host.config.name
+        host.isolation_path.touch()
+        self._record(HostIsolated(at=time.monotonic(), host=name, isolated=True))
+        end = time.monotonic() + ISOLATED_S
+        while time.monotonic() < end and host.start_count == life:
+            await anyio.sleep(ISOLATION_CHECK_S)
+        self._record(HostIsolated(at=time.monotonic(), host=name, isolated=False))
+        host.isolation_path.unlink()
+
     async def stop(self, host: HostProcess) -> None:
         """Stop a host as the platform does, and record its exit."""
         host.is_stopping = True
--- a/soak/planted.py
+++ b/soak/planted.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from functools import partial
 from itertools import count
+from math import inf
 from types import ModuleType
 from typing import Any, Final
 
@@ -21,7 +22,7 @@
 )
 from siskinpier.core.effects import Effect
 from siskinpier.core.messages import RegisteredServer
-from siskinpier.core.routing import balance, retrying
+from siskinpier.core.routing import balance, isolation, retrying
 from siskinpier.core.state import HostState
 from siskinpier.edge.backends import BackendClient, BackendReply
 from siskinpier.edge.headers import Headers
@@ -124,6 +125,11 @@
     balance.has_token = lambda limit, now: True  # type: ignore[attr-defined]
 
 
+def _keep_calls() -> None:
+    """Let isolated hosts forward no call, and stay homes."""
+    isolation.CHECK_TIMEOUT_S = inf  # type: ignore[misc]
+
+
 def _end_later() -> None:
     """End by itself after `PLANTED_AFTER_S`."""
     _run_later(partial(os._exit, 3))
@@ -159,6 +165,7 @@
     "swapped-answer": (_swap_responses, {"mixed", "unasked", "twice", "changed"}),
     "ignored-drain": (_ignore_drains, {"drain"}),
     "ignored-limit": (_ignore_limits, {"limit"}),
+    "kept-calls": (_keep_calls, {"isolated"}),
     "self-ended": (_end_later, {"ended"}),
     "ended-by-reload": (_end_at_reload, {"ended"}),
     "hung": (_hang, {"unready"}),
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -21,7 +21,7 @@
 from tests.standins.process import ROOT, StandIn
 
 from .backend import LIMIT_PATH
-from .host import CLOCK_VARIABLE, PLANTED_VARIABLE
+from .host import CLOCK_VARIABLE, ISOLATION_VARIABLE, PLANTED_VARIABLE
 
 LOOPBACK: Final = "127.0.0.1"
 CONTROL_TIMEOUT_S: Final = 2.0
@@ -114,6 +114,7 @@
         # True from a deliberate stop or kill until the next start.
         self.is_stopping = False
         self.path = config.folder / f"{config.name}.conf"
+        self.isolation_path = config.folder / f"{config.name}.isolated"
         self._child: subprocess.Popen[bytes] | None = None
         self._log = config.folder / f"{config.name}.log"
         self._settings_number = 0
@@ -153,22 +154,27 @@
         new_path.write_text(self.make_settings())
         new_path.replace(self.path)
 
-    def start(self, clock_offset_s: float = 0.0) -> None:
-        """Start the deployed program; `soak.host` for a clock offset or a planted bug.
+    def start(
+        self, clock_offset_s: float = 0.0, *, can_be_isolated: bool = False
+    ) -> None:
+        """Start the deployed program, or `soak.host` where it needs a change.
 
-        The offset of the wall clock is in seconds.
+        The offset of the wall clock is in seconds. A host that `can_be_isolated`
+        reaches no backend server while `isolation_path` exists.
         """
         self.start_count += 1
         self.is_stopping = False
         self._early_signals = set()
         self._log_offset = self._log.stat().st_size if self._log.exists() else 0
         command, extra = make_command(), {}
-        if clock_offset_s or self.config.planted:
+        if clock_offset_s or self.config.planted or can_be_isolated:
             command = make_command("soak.host")
             extra = {
                 CLOCK_VARIABLE: str(clock_offset_s),
                 PLANTED_VARIABLE: self.config.planted,
             }
+        if can_be_isolated:
+            extra[ISOLATION_VARIABLE] = str(self.isolation_path)
         close_output = partial(os.close, 1) if self.output == NO_OUTPUT else None
         with self._log.open("ab") as log:
             self._child = subprocess.Popen(
--- a/soak/run.py
+++ b/soak/run.py
@@ -183,7 +183,7 @@
                 at=now,
                 number=fault.number,
                 kind=fault.kind.value,
-                target=fault.target,
+                target=_get_judged_target(fault),
                 planned=fault.kind in PLANNED_KINDS,
             )
         )
@@ -333,6 +333,12 @@
                 tasks.start_soon(self._host_faults.stop, host)
 
 
+def _get_judged_target(fault: ScheduledFault) -> str:
+    """Return what the fault excuses; rules hold for a host that is isolated."""
+    is_isolation = fault.kind is FaultKind.HOST_ISOLATE
+    return f"isolated/{fault.target}" if is_isolation else fault.target
+
+
 async def run_schedule(config: RunConfig) -> Outcome:
     """Run a schedule; its folder is kept only if a guarantee was violated."""
     outcome = await SoakRun(config=config).run()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -14,7 +14,7 @@
 TAIL_S: Final = 5.0
 FAULTS_PER_S: Final = 0.7
 START_FAULTS_PER_S: Final = 0.5
-LIMITS_PER_S: Final = 0.1
+LATER_FAULTS_PER_S: Final = 0.15
 MAX_FAULT_S: Final = 4.0
 MIN_FAULT_S: Final = 0.2
 # Probability that a fault starts a series, the number of faults in a series, and the
@@ -74,6 +74,8 @@
     STORE_ODD = "store-odd"
     # A backend server names a rate limit for a while.
     SERVER_LIMIT = "server-limit"
+    # A host is started again, and then cut off from all backend servers for a while.
+    HOST_ISOLATE = "host-isolate"
 
     @property
     def group(self) -> str:
@@ -88,11 +90,11 @@
 
 # The schedules of later kinds are drawn separately: seeds that failed before these
 # kinds were added keep their meaning.
-LIMIT_KINDS: Final = [FaultKind.SERVER_LIMIT]
+LATER_KINDS: Final = [FaultKind.SERVER_LIMIT, FaultKind.HOST_ISOLATE]
 START_KINDS: Final = [
     kind
     for kind in list(FaultKind)[list(FaultKind).index(FaultKind.HOST_HUPS) :]
-    if kind not in LIMIT_KINDS
+    if kind not in LATER_KINDS
 ]
 # Kinds that hosts do not withstand yet; they are drawn and left out.
 LEFT_OUT_KINDS: Final[frozenset[FaultKind]] = frozenset()
@@ -144,12 +146,12 @@
     left_out: frozenset[FaultKind] = LEFT_OUT_KINDS,
 ) -> list[ScheduledFault]:
     """Return the faults of a run of `length_s` seconds, sorted by start."""
-    kinds = [kind for kind in FaultKind if kind not in START_KINDS + LIMIT_KINDS]
+    kinds = [kind for kind in FaultKind if kind not in START_KINDS + LATER_KINDS]
     draw = _Draw(rng=Random(seed), kinds=kinds, hosts=hosts, servers=servers)
     drawn = draw.draw_faults(length_s - TAIL_S, FAULTS_PER_S, 0)
     for name, later_kinds, per_s in (
         ("start", START_KINDS, START_FAULTS_PER_S),
-        ("limit", LIMIT_KINDS, LIMITS_PER_S),
+        ("later", LATER_KINDS, LATER_FAULTS_PER_S),
     ):
         draw = _Draw(
             rng=Random(f"{seed}/{name}"),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
     FaultEnded,
     HostExited,
     HostGrown,
+    HostIsolated,
     HostUnready,
     LimitNamed,
     RunBegan,
@@ -506,3 +507,44 @@
             at=11.0, number=1, kind="host-kill", target="h0", planned=False
         )
         assert self.check(4.0, fault) == []
+
+
+class TestIsolationRule:
+    """The checker compares hosts without a path to the servers with the others."""
+
+    BEGAN_AT = 10.0
+
+    def check(self, status: int, *more: Entry) -> list[str]:
+        """Return the rules violated if the cut host answers with a status."""
+        checker = Checker()
+        for entry in more:
+            checker.check_entry(entry)
+        cut = HostIsolated(at=self.BEGAN_AT, host="h0", isolated=True)
+        checker.check_entry(cut)
+        for n in range(160):
+            at = self.BEGAN_AT + n / 20
+            host = "h0" if n % 2 else "h1"
+            sent = replace(make_sent(at, f"c-{n}"), host=host)
+            checker.check_entry(sent)
+            ended = Ended(
+                at=at,
+                request=sent.request,
+                ending=Ending.ANSWERED,
+                status=status if host == "h0" else 200,
+                signature="s0-1.",
+                told_request=sent.request,
+            )
+            checker.check_entry(ended)
+        return [v.rule for v in checker.finish() if v.rule != "mixed"]
+
+    def test_served(self) -> None:
+        assert self.check(200) == []
+
+    def test_not_served(self) -> None:
+        assert self.check(503) == ["isolated"]
+
+    def test_other_fault_on_the_host(self) -> None:
+        fault = FaultBegan(
+            at=9.0, number=1, kind="host-pause", target="h0", planned=False
+        )
+        assert self.check(503, fault) == []
