--- a/src/siskinpier/core/language/answers.py
+++ b/src/siskinpier/core/language/answers.py
@@ -6,7 +6,7 @@
 from ..cluster.revisions import list_hosts_behind
 from ..cluster.views import is_leaving, list_live_hosts
 from ..configuration.intents import MAX_RECENT_UPDATES
-from ..state import HostState, Lifecycle
+from ..state import HostState, IsolationStatus, Lifecycle
 from .decision_history import MAX_EXPLAINED_CALLS
 from .parsing import LanguageError, parse_question
 from .queries import (
@@ -106,6 +106,7 @@
             "failure domain": own.failure_domain,
             "live": own.name in live,
             "leaving": is_leaving(state),
+            "isolated": state.isolation.status is IsolationStatus.ISOLATED,
             "revision": state.intents.revision,
             "heard s ago": 0.0,
             "listed": "",
@@ -120,6 +121,7 @@
             "leaving": member.leaving
             or member.listed_leaving
             or member.name in state.intents.leaving_hosts,
+            "isolated": member.is_isolated,
             "revision": member.revision,
             "heard s ago": (
                 "never"
