Quarantine no calls because a host lost its path to the servers

A host whose connections to servers are reset reports each broken call as a suspected crash to all hosts; two reports of one fingerprint quarantine it everywhere for 900 s. Callers of any host that send the same request would be refused.

An isolated host reports no crashes and, when it finds itself isolated, takes back those of connections that broke since the last reply of any server. It does so before it announces itself: hosts that hear it for the first time would send it the suspicions again. The announcement now goes to those that spread changes, not to the whole domain. A predicate of the same name in quarantine.py, for a host without contact to others, is renamed.

test_isolation.py::TestQuarantine failed before with reset connections and passes.

--- a/src/siskinpier/core/cluster/heartbeats.py
+++ b/src/siskinpier/core/cluster/heartbeats.py
@@ -90,13 +90,10 @@
 
 
 def announce_status(state: HostState, now: float, out: list[Effect]) -> None:
-    """Announce a change of this host at once to its domain and to the delegates."""
+    """Announce a change of this host at once to hosts that spread it further."""
     own = state.identity
-    names = [
-        member.name
-        for member in state.members.values()
-        if member.failure_domain == own.failure_domain
-    ]
+    names = state.rings.list_fingers(own.name, own.failure_domain)
+    names += state.rings.list_monitors(own.name, own.failure_domain)
     names += list_remote_delegates(state, now)
     _send_heartbeats(state, names, now, out)
 
--- a/src/siskinpier/core/routing/isolation_reactions.py
+++ b/src/siskinpier/core/routing/isolation_reactions.py
@@ -16,6 +16,7 @@
 from .dispatch import dispatch_call
 from .gateways import choose_gateway
 from .isolation import run_isolation_check
+from .quarantine import retract_suspicions
 from .refusals import refuse_call, remove_call
 from .slot_requests import withdraw_slot_requests
 from .speed_checks import end_check
@@ -25,9 +26,13 @@
     """Check whether this host is isolated, and react to a change."""
     if not run_isolation_check(state, now, out):
         return
+    is_isolated = state.isolation.status is IsolationStatus.ISOLATED
+    if is_isolated:
+        # Before others hear from this host, and tell it of suspicions that they know.
+        retract_suspicions(state, state.isolation.last_reply_at, out)
     update_placement(state, now, out)
     announce_status(state, now, out)
-    if state.isolation.status is IsolationStatus.ISOLATED:
+    if is_isolated:
         _redirect_calls(state, now, out)
     else:
         _forget_health(state, now)
--- a/src/siskinpier/core/routing/quarantine.py
+++ b/src/siskinpier/core/routing/quarantine.py
@@ -20,7 +20,7 @@
 from ..events import AttemptFailed, ReleaseQuarantine, ReplyFinished
 from ..messages import CrashReport, QuarantineRelease
 from ..problems import make_quarantined
-from ..state import HostState
+from ..state import HostState, IsolationStatus
 from ..verdict import AttemptFailure, Problem, Verdict
 from .calls import Call
 from .suspects import SuspectedCall
@@ -32,7 +32,7 @@
 SUSPECTS_LIMIT: Final = 2048
 # How long a host without contact to other hosts refuses a suspected call, in seconds:
 # two heartbeats are due in that time.
-ISOLATED_RETRY_AFTER_S: Final = 1.0
+NO_CONTACT_RETRY_AFTER_S: Final = 1.0
 # How long a reply to an earlier attempt can disprove that a connection broke because of
 # a crash, in seconds.
 BREAK_TTL_S: Final = 10.0
@@ -80,10 +80,10 @@
         return 0.0
     if suspect.until is not None:
         return max(0.0, suspect.until - now)
-    return ISOLATED_RETRY_AFTER_S if is_isolated(state) else 0.0
+    return NO_CONTACT_RETRY_AFTER_S if has_no_contact(state) else 0.0
 
 
-def is_isolated(state: HostState) -> bool:
+def has_no_contact(state: HostState) -> bool:
     """Return True if other hosts are known and no message arrives from any."""
     members = state.members.values()
     return bool(members) and all(
@@ -117,6 +117,7 @@
     call = active.call
     if (
         attempt.is_forward
+        or state.isolation.status is IsolationStatus.ISOLATED
         or event.failure not in _CRASH_FAILURES
         or not call.fingerprint
     ):
@@ -137,6 +138,21 @@
     send_to_all(state, report, out)
 
 
+def retract_suspicions(state: HostState, since: float, out: list[Effect]) -> None:
+    """Remove the suspicions of calls whose connections broke after `since`.
+
+    This host has lost its path to the servers, so the breaks show no crash.
+    """
+    broken = {
+        fingerprint
+        for breaks in state.quarantine.connection_breaks.values()
+        for fingerprint, at in breaks.items()
+        if at > since
+    }
+    for fingerprint in sorted(broken):
+        clear_suspicion(state, fingerprint, out)
+
+
 def clear_disproved_suspicions(
     state: HostState, event: ReplyFinished, out: list[Effect]
 ) -> None:
--- a/tests/standins/slot_world.py
+++ b/tests/standins/slot_world.py
@@ -278,9 +278,13 @@
         }
         self._start()
 
-    def call(self, host: str, call_id: str, deadline_s: float = 2.0) -> None:
-        """Send a call to a host now."""
+    def call(
+        self, host: str, call_id: str, deadline_s: float = 2.0, fingerprint: str = ""
+    ) -> None:
+        """Send a call to a host now; calls differ unless they share a fingerprint."""
         call = make_call(call_id, self.now + deadline_s)
+        if fingerprint:
+            call = replace(call, fingerprint=fingerprint)
         self._arrived[call_id] = self.now
         self._calls[call_id] = call
         self.handle(host, CallArrived(now=self.now, call=call))
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -263,6 +263,30 @@
         assert compute_shares(world, others).others >= MIN_OTHER_SHARE
 
 
+class TestQuarantine:
+    """Connections that break with a lost path are no crashes of servers."""
+
+    @pytest.mark.parametrize("cut", list(ServerCut))
+    def test_calls_of_isolated_hosts_are_not_quarantined(self, cut: ServerCut) -> None:
+        world = make_world()
+        send_calls(world, 2.0)
+        cut_off(world, SOME, cut)
+        same = make_call("same", 0.0).fingerprint
+        for n in range(60):
+            for host in SOME:
+                world.call(host, f"same{n}-{host}", fingerprint=same)
+            world.run_for(0.05)
+        quarantined = {
+            fingerprint
+            for state in world.states.values()
+            for fingerprint in state.quarantine.suspects
+        }
+        assert same not in quarantined
+        world.call("h5", "later", fingerprint=same)
+        world.run_for(1.0)
+        assert world.answers["later"].status == 200
+
+
 class TestForwards:
     """Calls of isolated hosts go through others, at most once where they must."""
 
