--- a/soak/checker.py
+++ b/soak/checker.py
@@ -20,7 +20,7 @@
     FaultEnded,
     HostExited,
     HostGrown,
-    HostIsolated,
+    HostsIsolated,
     HostUnready,
     LimitNamed,
     RunBegan,
@@ -115,7 +115,7 @@
                 self._configured.append(entry)
             case Drained(at=at, server=server):
                 self._drained.setdefault(server, at)
-            case HostIsolated():
+            case HostsIsolated():
                 self._isolation_rule.record_isolation(entry)
             case LimitNamed():
                 self._limit_rule.record_limit(entry)
--- a/soak/history.py
+++ b/soak/history.py
@@ -101,11 +101,11 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class HostIsolated:
-    """A host loses its path to all backend servers, or has it again."""
+class HostsIsolated:
+    """Hosts lose their path to all backend servers, or have it again."""
 
     at: float
-    host: str
+    hosts: list[str]
     isolated: bool
 
 
@@ -172,7 +172,7 @@
     | Configured
     | Drained
     | LimitNamed
-    | HostIsolated
+    | HostsIsolated
     | FaultBegan
     | FaultEnded
     | HostExited
--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from .history import HostExited, HostIsolated
+from .history import HostExited, HostsIsolated
 from .odd_entries import make_odd_settings
 from .processes import NO_OUTPUT, SPARE_SETTINGS, HostProcess
 from .schedule import ALL_HOSTS, FaultKind, ScheduledFault
@@ -38,7 +38,7 @@
         *,
         seed: int,
         hosts: dict[str, HostProcess],
-        record: Callable[[HostExited | HostIsolated], None],
+        record: Callable[[HostExited | HostsIsolated], None],
         has_time_limits: bool,
     ) -> None:
         self._seed = seed
@@ -86,22 +86,29 @@
                     host.start()
                     await anyio.sleep(fault.for_s)
 
-    async def _isolate(self, host: HostProcess) -> None:
-        """Start a host again, and cut it off from all servers for a while."""
-        host.kill()
-        host.start(can_be_isolated=True)
-        life = host.start_count
+    async def _isolate(self, first: HostProcess) -> None:
+        """Start half of the hosts again, and cut them off from all servers.
+
+        The rest of the cut is not judged once one of them has been started again.
+        """
+        hosts = list(self._hosts.values())
+        parity = hosts.index(first) % 2
+        cut = [host for host in hosts[parity::2] if not host.is_stopping]
+        for host in cut:
+            host.kill()
+            host.start(can_be_isolated=True)
+        lives = [host.start_count for host in cut]
         await anyio.sleep(ISOLATION_LEAD_S)
-        if host.start_count != life or host.is_stopping:
-            return
-        name = host.config.name
-        host.isolation_path.touch()
-        self._record(HostIsolated(at=time.monotonic(), host=name, isolated=True))
+        names = [host.config.name for host in cut]
+        for host in cut:
+            host.isolation_path.touch()
+        self._record(HostsIsolated(at=time.monotonic(), hosts=names, isolated=True))
         end = time.monotonic() + ISOLATED_S
-        while time.monotonic() < end and host.start_count == life:
+        while time.monotonic() < end and lives == [host.start_count for host in cut]:
             await anyio.sleep(ISOLATION_CHECK_S)
-        self._record(HostIsolated(at=time.monotonic(), host=name, isolated=False))
-        host.isolation_path.unlink()
+        self._record(HostsIsolated(at=time.monotonic(), hosts=names, isolated=False))
+        for host in cut:
+            host.isolation_path.unlink(missing_ok=True)
 
     async def stop(self, host: HostProcess) -> None:
         """Stop a host as the platform does, and record its exit."""
--- a/soak/isolation_rule.py
+++ b/soak/isolation_rule.py
@@ -5,7 +5,7 @@
 from math import inf
 from typing import Final
 
-from .history import Ended, Ending, HostIsolated, Sent
+from .history import Ended, Ending, HostsIsolated, Sent
 
 # The rule holds from this long after a cut began, in seconds: the cut hosts serve at
 # least this share of what the others do, or few requests fail there.
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Cut:
-    host: str
+    hosts: list[str]
     began_at: float
     ended_at: float = inf
 
@@ -30,13 +30,13 @@
         # Host, time and success of each request.
         self._requests: list[tuple[str, float, bool]] = []
 
-    def record_isolation(self, entry: HostIsolated) -> None:
+    def record_isolation(self, entry: HostsIsolated) -> None:
         """Record that a cut begins or ends."""
         if entry.isolated:
-            self._cuts.append(_Cut(host=entry.host, began_at=entry.at))
+            self._cuts.append(_Cut(hosts=entry.hosts, began_at=entry.at))
             return
         for cut in self._cuts:
-            if cut.host == entry.host:
+            if cut.hosts == entry.hosts:
                 cut.ended_at = min(cut.ended_at, entry.at)
 
     def record_end(self, sent: Sent, ended: Ended) -> None:
@@ -64,8 +64,8 @@
             for host, at, is_served in self._requests
             if since <= at <= cut.ended_at and is_connected(host, at, at)
         ]
-        here = [is_served for host, is_served in judged if host == cut.host]
-        others = [is_served for host, is_served in judged if host != cut.host]
+        here = [is_served for host, is_served in judged if host in cut.hosts]
+        others = [is_served for host, is_served in judged if host not in cut.hosts]
         failed = len(here) - sum(here)
         if not others or failed <= FAILURE_SLACK + len(judged) * FAILURE_SHARE:
             return ""
@@ -73,6 +73,6 @@
         if share >= MIN_RELATIVE_SHARE * other_share:
             return ""
         return (
-            f"{cut.host} without servers served {sum(here)} of {len(here)},"
+            f"{cut.hosts} without servers served {sum(here)} of {len(here)},"
             f" the others {sum(others)} of {len(others)}"
         )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -74,7 +74,7 @@
     STORE_ODD = "store-odd"
     # A backend server names a rate limit for a while.
     SERVER_LIMIT = "server-limit"
-    # A host is started again, and then cut off from all backend servers for a while.
+    # Half of the hosts are started again, then cut off from all backend servers.
     HOST_ISOLATE = "host-isolate"
 
     @property
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,7 +28,7 @@
     FaultEnded,
     HostExited,
     HostGrown,
-    HostIsolated,
+    HostsIsolated,
     HostUnready,
     LimitNamed,
     RunBegan,
@@ -519,7 +519,7 @@
         checker = Checker()
         for entry in more:
             checker.check_entry(entry)
-        cut = HostIsolated(at=self.BEGAN_AT, host="h0", isolated=True)
+        cut = HostsIsolated(at=self.BEGAN_AT, hosts=["h0"], isolated=True)
         checker.check_entry(cut)
         for n in range(160):
             at = self.BEGAN_AT + n / 20
