--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,8 @@
 DEADLINE_GRACE_S: Final = 0.5
 # Mean pause after a request, and pause while no host is known.
 REQUEST_PAUSE_S: Final = 0.08
+# Pause of a caller that sends to one host only, also after a refusal.
+PINNED_PAUSE_S: Final = 0.2
 REFRESH_INTERVAL_S: Final = 2.0
 RESOLUTION_TIMEOUT_S: Final = 1.0
 # Share of callers that never refresh their address while their connection works.
@@ -28,7 +30,10 @@
 
 
 class SoakCaller:
-    """Sends one request at a time over one connection."""
+    """Sends one request at a time over one connection.
+
+    With a `pinned_host`, it sends to that host only, whatever it is told.
+    """
 
     def __init__(
         self,
@@ -38,7 +43,9 @@
         failure_domain: str,
         hosts: dict[str, HostProcess],
         record: Callable[[Entry], None],
+        pinned_host: str = "",
     ) -> None:
+        self._pinned_host = pinned_host
         self._name = name
         self._rng = Random(f"{seed}/{name}")
         self._domain = failure_domain
@@ -65,6 +72,9 @@
                 await self._close_session()
 
     async def _refresh_address(self) -> None:
+        if self._pinned_host:
+            self._address = self._hosts[self._pinned_host].address
+            return
         now = time.monotonic()
         is_old = (
             now - self._refreshed_at > REFRESH_INTERVAL_S and not self._never_refreshes
@@ -146,6 +156,8 @@
         if ended.ending is not Ending.ANSWERED:
             await self._close_session()
             self._address = ""
+        if self._pinned_host:
+            return PINNED_PAUSE_S
         return retry_after_s or REQUEST_PAUSE_S * self._rng.uniform(0.5, 1.5)
 
     async def _fetch_response(
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from dataclasses import asdict, dataclass
+from itertools import product
 from pathlib import Path
 from random import Random
 from typing import IO, Final
@@ -48,6 +49,8 @@
 # Rate limits that servers name, requests per second, and for how long.
 LIMITS_PER_S: Final = (1.0, 0.0, 2.5, 6.0)
 LIMITED_S: Final = 9.0
+# Callers of each host that send to it only.
+PINNED_CALLERS: Final = 2
 # Number of entries that another writer puts at once.
 ODD_ENTRY_COUNT: Final = 8
 
@@ -149,6 +152,17 @@
                 record=self._record_entry,
             )
             tasks.start_soon(caller.run)
+        # Others may stay away from a host just when it is judged.
+        for name, number in product(self._deployment.hosts, range(PINNED_CALLERS)):
+            caller = SoakCaller(
+                name=f"p{number}-{name}",
+                seed=self._config.seed,
+                failure_domain="",
+                hosts=self._deployment.hosts,
+                record=self._record_entry,
+                pinned_host=name,
+            )
+            tasks.start_soon(caller.run)
 
     def _record_entry(self, entry: Entry) -> None:
         self._history.write(dump_entry(entry) + "\n")
