Refuse a forwarded call at once at a host that is isolated itself

It would have tried the servers that it cannot reach until the call's deadline. While no host reaches the servers it still tries, as any other. The two ways to queue waiting calls again share their code. TestForwards::test_forwarded_call_is_not_forwarded_again is stricter: it asks for the refusal, where it only forbade a forward.

--- a/src/siskinpier/core/routing/dispatch.py
+++ b/src/siskinpier/core/routing/dispatch.py
@@ -18,7 +18,7 @@
     record_spare_notice,
     report_spare_slots,
 )
-from .gateways import choose_gateway
+from .gateways import choose_gateway, is_stranded
 from .queueing import (
     dispatch_queued_calls,
     enqueue_call,
@@ -43,6 +43,12 @@
     if gateway is not None:
         forward_call(service, active, gateway, now, out)
         return
+    if is_stranded(state, active):
+        remove_call(state, active, out)
+        refuse_call(
+            active, make_no_server(active.call.service, active.worst_verdict), out
+        )
+        return
     tried = active.list_tried_targets()
     if state.settings.grants_slots and not active.holder and can_cross_domains(active):
         active.accepts_slow_from = now + FAST_SERVER_WAIT_S
--- a/src/siskinpier/core/routing/gateways.py
+++ b/src/siskinpier/core/routing/gateways.py
@@ -4,19 +4,18 @@
 domain come first: bytes between domains are dear.
 """
 
+from typing import Final
+
 from ..cluster.members import Member, is_live
 from ..state import HostState, IsolationStatus
 from .calls import ActiveCall
 
 # Hosts that a call is forwarded to in turn, while none of them can be reached.
-MAX_FORWARDS = 2
+MAX_FORWARDS: Final = 2
 
 
 def choose_gateway(state: HostState, active: ActiveCall, now: float) -> Member | None:
-    """Return a host to forward a call to; None if this host serves the call itself.
-
-    A call is forwarded once: if its host is isolated too, its refusal is final.
-    """
+    """Return a host to forward a call to; None if there is none, or no need."""
     if state.isolation.status is not IsolationStatus.ISOLATED:
         return None
     if active.call.hops > 0 or active.holder or not state.settings.grants_slots:
@@ -37,3 +36,14 @@
     near = [member for member in members if member.failure_domain == own]
     candidates = near or members
     return state.rng.choice(candidates) if candidates else None
+
+
+def is_stranded(state: HostState, active: ActiveCall) -> bool:
+    """Return True if a call was forwarded to this host, which is isolated itself.
+
+    It is not forwarded again, so that no call travels in circles. While no host
+    reaches the servers, this one tries as any other.
+    """
+    own = state.identity.name
+    is_isolated = state.isolation.status is IsolationStatus.ISOLATED
+    return active.call.hops > 0 and is_isolated and own not in state.serving
--- a/src/siskinpier/core/routing/queueing.py
+++ b/src/siskinpier/core/routing/queueing.py
@@ -150,11 +150,8 @@
         is_too_long = pause_end is not None and _is_pause_too_long(
             service, active, pause_end
         )
-        if is_usable and not is_too_long:
-            continue
-        service.queue.remove(active)
-        restore_deadline_timer(active, out)
-        enqueue_call(state, service, active, now, out)
+        if not is_usable or is_too_long:
+            _requeue_call(state, service, active, now, out)
 
 
 def requeue_calls(
@@ -164,10 +161,19 @@
     if not service.owned:
         return
     for call_id in service.queue.get_call_ids():
-        active = state.calls[call_id]
-        service.queue.remove(active)
-        restore_deadline_timer(active, out)
-        enqueue_call(state, service, active, now, out)
+        _requeue_call(state, service, state.calls[call_id], now, out)
+
+
+def _requeue_call(
+    state: HostState,
+    service: ServiceRuntime,
+    active: ActiveCall,
+    now: float,
+    out: list[Effect],
+) -> None:
+    service.queue.remove(active)
+    restore_deadline_timer(active, out)
+    enqueue_call(state, service, active, now, out)
 
 
 def refuse_waiting_call(
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from siskinpier.core.effects import SendAttempt
+from siskinpier.core.effects import RefuseCall, SendAttempt, SendMessage
 from siskinpier.core.events import CallArrived
 from siskinpier.core.reducer import reduce
 from siskinpier.core.routing.address_choice import choose_addresses
@@ -337,11 +337,11 @@
 
     def test_forwarded_call_is_not_forwarded_again(self) -> None:
         world = self.start()
-        isolated = world.states["h1"]
-        isolated.isolation.status = IsolationStatus.ISOLATED
         call = replace(make_call("again", world.now + 2.0), hops=1)
-        effects = reduce(isolated, CallArrived(now=world.now, call=call))
-        assert not [e for e in effects if isinstance(e, SendAttempt) and e.is_forward]
+        effects = reduce(world.states["h0"], CallArrived(now=world.now, call=call))
+        refusals = [e.problem for e in effects if isinstance(e, RefuseCall)]
+        assert [problem.verdict for problem in refusals] == [Verdict.NOT_RUN]
+        assert not [e for e in effects if isinstance(e, SendAttempt | SendMessage)]
 
 
 class TestReturn:
