--- a/src/siskinpier/core/reducer.py
+++ b/src/siskinpier/core/reducer.py
@@ -123,14 +123,13 @@
     handle_reply_finished,
     handle_reply_started,
 )
-from .routing.slots import (
-    handle_slot_end,
+from .routing.slot_holders import (
     handle_slot_grant,
     handle_slot_queued,
     handle_slot_refusal,
-    handle_slot_request,
     handle_slot_response_due,
 )
+from .routing.slots import handle_slot_end, handle_slot_request
 from .routing.speed_check_results import expire_check
 from .state import HostState
 from .timers import (
--- a/src/siskinpier/core/routing/slots.py
+++ b/src/siskinpier/core/routing/slots.py
@@ -9,36 +9,28 @@
 from typing import Final
 
 from ..cluster.members import Member
-from ..effects import Effect, LogDecision, SetTimer
+from ..effects import Effect, SetTimer
 from ..messages import (
     SlotEnd,
-    SlotGrant,
-    SlotQueued,
-    SlotRefusal,
     SlotRequest,
     SlotUse,
 )
 from ..problems import make_no_server, make_retry_budget_exhausted
 from ..state import HostState, ServiceRuntime
-from ..timers import CallDeadline, SlotResponseDue
-from ..verdict import AttemptFailure, Problem
+from ..timers import CallDeadline
+from ..verdict import AttemptFailure
 from .attempts import (
     handle_replaced_server,
     record_attempt_failure,
     record_service_time,
     release_slot,
-    send_attempt,
 )
 from .balance import (
-    ServerRuntime,
     get_slot_limit,
     has_free_slot,
-    is_draining,
-    is_paused,
 )
-from .calls import ActiveCall, Attempt, Call, Grant, Stage
+from .calls import ActiveCall, Attempt, Call, Stage
 from .candidates import FAST_SERVER_WAIT_S, choose_fast_server
-from .cross_domain import is_cross_domain_worthwhile
 from .dispatch import dispatch_call
 from .health import record_success
 from .hedging import update_hedge_delay
@@ -52,25 +44,13 @@
 from .run_times import record_run_time
 from .server_availability import apply_pause
 from .slot_notices import send_queued_notice
-from .slot_requests import (
-    UNRESPONSIVE_S,
-    request_slot,
-    request_spare_slot,
-    send_withdrawal,
-    withdraw_slot_requests,
-)
 from .speed_changes import handle_load_report
 from .speed_checks import ServerChoice, send_or_check
 from .speeds import is_slow, record_slow_period_effect
 
-# How often the holder of a queued call checks that its home is alive, in seconds.
-QUEUED_CHECK_INTERVAL_S: Final = 0.5
 # Free slots on fast servers that a home must have to grant one of them to a call that
 # is queued at another home.
 MIN_SPARE_SLOTS: Final = 2
-# The holder of a queued call requests a slot from other homes in its failure domain if
-# the answer is expected after more than this many usual run times.
-NEARBY_REQUEST_FACTOR: Final = 1.2
 
 
 def handle_slot_request(
@@ -166,201 +146,6 @@
         return_token(server.rate_limit)
 
 
-def handle_slot_grant(
-    state: HostState, grant: SlotGrant, sender: str, now: float, out: list[Effect]
-) -> None:
-    """Send a call to the backend server that its home granted, at most once."""
-    active = state.calls.get(grant.call)
-    if active is not None and grant.is_hedge:
-        _send_granted_hedge(state, active, grant, sender, now, out)
-        return
-    has_expired = active is not None and now >= active.call.deadline
-    if (
-        active is None
-        or has_expired
-        or not _is_outstanding(active, sender, grant.request_number)
-    ):
-        # A host that was suspended may receive a grant after the call's deadline.
-        send_withdrawal(
-            state, sender, grant.call, grant.request_number, out, grant.number
-        )
-        return
-    service = state.services.get(active.call.service)
-    server = service.servers.get(grant.server) if service is not None else None
-    home = state.members.get(sender)
-    if service is None or server is None or home is None or is_draining(server):
-        send_withdrawal(state, sender, grant.call, grant.request_number, out)
-        pending = active.pending_requests.pop(grant.request_number)
-        if not pending.is_spare:
-            _dispatch_elsewhere(state, active, now, out)
-        return
-    if is_paused(server, now):
-        # Granted before the home learned of the pause.
-        send_withdrawal(state, sender, grant.call, grant.request_number, out)
-        del active.pending_requests[grant.request_number]
-        dispatch_call(state, service, active, now, out)
-        return
-    service.queue.remove(active)
-    _send_granted(state, active, server, grant, home, "granted", now, out)
-
-
-def _send_granted(
-    state: HostState,
-    active: ActiveCall,
-    server: ServerRuntime,
-    grant: SlotGrant,
-    home: Member,
-    reason: str,
-    now: float,
-    out: list[Effect],
-) -> None:
-    active.pending_requests.pop(grant.request_number, None)
-    send_attempt(active, server, now, reason, out)
-    if active.attempt is not None:
-        active.attempt.grant = Grant(
-            home=home.name,
-            address=home.peers,
-            holder=state.identity.name,
-            call_id=grant.call,
-            request_number=grant.request_number,
-            number=grant.number,
-        )
-
-
-def _send_granted_hedge(
-    state: HostState,
-    active: ActiveCall,
-    grant: SlotGrant,
-    sender: str,
-    now: float,
-    out: list[Effect],
-) -> None:
-    """Send a hedge on a granted slot if the first attempt still waits for its reply."""
-    service = state.services.get(active.call.service)
-    server = service.servers.get(grant.server) if service is not None else None
-    home = state.members.get(sender)
-    can_send = (
-        active.stage is Stage.SENT
-        and now < active.call.deadline
-        and active.other_attempt is None
-        and active.idempotent
-        and active.call.replayable
-        and len(active.attempts) < active.attempts_limit
-        and grant.server not in active.list_tried_targets()
-    )
-    is_usable = server is not None and not is_draining(server)
-    if server is None or not is_usable or is_paused(server, now):
-        can_send = False
-    if server is None or home is None or not can_send:
-        send_withdrawal(
-            state, sender, grant.call, grant.request_number, out, grant.number
-        )
-        return
-    active.other_attempt = active.attempt
-    _send_granted(state, active, server, grant, home, "hedge", now, out)
-
-
-def handle_slot_queued(
-    state: HostState,
-    message: SlotQueued,
-    sender: str,
-    now: float,
-    out: list[Effect],
-) -> None:
-    """Record that a call is queued at its home; request a slot elsewhere if needed."""
-    active = state.calls.get(message.call)
-    if active is None or not _is_outstanding(active, sender, message.request_number):
-        return
-    active.is_queued_at_home = True
-    service = state.services.get(active.call.service)
-    if service is None:
-        return
-    if is_cross_domain_worthwhile(
-        active, message.expected_s, message.typical_run_s, now
-    ):
-        request_spare_slot(state, service, active, now, out)
-    elif message.expected_s > NEARBY_REQUEST_FACTOR * message.typical_run_s:
-        request_spare_slot(state, service, active, now, out, near_only=True)
-
-
-def handle_slot_refusal(
-    state: HostState,
-    message: SlotRefusal,
-    sender: str,
-    now: float,
-    out: list[Effect],
-) -> None:
-    """Request a slot from another home, or refuse the call as its home did."""
-    active = state.calls.get(message.call)
-    if active is None or not _is_outstanding(active, sender, message.request_number):
-        return
-    pending = active.pending_requests.pop(message.request_number)
-    service = state.services.get(active.call.service)
-    if pending.is_spare:
-        active.homes_without_spare.add(sender)
-        if service is not None:
-            request_spare_slot(state, service, active, now, out)
-        return
-    active.refused_by.add(sender)
-    can_request = service is not None and not message.is_final
-    if can_request and service and request_slot(state, service, active, now, out):
-        return
-    problem = Problem(
-        status=503,
-        title=message.title,
-        detail=message.detail,
-        verdict=active.worst_verdict,
-        retry_after_s=message.retry_after_s,
-    )
-    remove_call(state, active, out)
-    refuse_call(active, problem, out)
-
-
-def handle_slot_response_due(
-    state: HostState, call_id: str, now: float, out: list[Effect]
-) -> None:
-    """Dispatch a call elsewhere if its home has not answered or has become silent."""
-    active = state.calls.get(call_id)
-    if active is None or active.stage is not Stage.ASKING:
-        return
-    member = state.members.get(active.requested_home)
-    is_lost = member is None or member.silent_since is not None
-    if active.is_queued_at_home and not is_lost:
-        timer = SlotResponseDue(call_id=call_id)
-        out.append(SetTimer(timer=timer, at=now + QUEUED_CHECK_INTERVAL_S))
-        return
-    fields: dict[str, object] = {
-        "call": call_id,
-        "home": active.requested_home,
-        "after_s": round(now - active.requested_at, 3),
-    }
-    out.append(LogDecision(event="slot-unanswered", fields=fields))
-    if member is not None:
-        member.unresponsive_until = now + UNRESPONSIVE_S
-    withdraw_slot_requests(active, out)
-    _dispatch_elsewhere(state, active, now, out)
-
-
-def _is_outstanding(active: ActiveCall, sender: str, request_number: int) -> bool:
-    """Return True if a call still waits for this home to answer this request."""
-    if active.stage not in (Stage.ASKING, Stage.QUEUED):
-        return False
-    pending = active.pending_requests.get(request_number)
-    return pending is not None and pending.home == sender
-
-
-def _dispatch_elsewhere(
-    state: HostState, active: ActiveCall, now: float, out: list[Effect]
-) -> None:
-    active.refused_by.add(active.requested_home)
-    service = state.services.get(active.call.service)
-    if service is not None:
-        dispatch_call(state, service, active, now, out)
-        return
-    remove_call(state, active, out)
-    refuse_call(active, make_no_server(active.call.service, active.worst_verdict), out)
-
-
 def _make_proxy(request: SlotRequest, holder: Member, now: float) -> ActiveCall:
     """Return the record that represents a call of another host at the home."""
     call = Call(
--- a/tests/test_crossing.py
+++ b/tests/test_crossing.py
@@ -12,7 +12,8 @@
     compute_on_time_probability,
     is_cross_domain_worthwhile,
 )
-from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 HOSTS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 
--- a/tests/test_full_servers.py
+++ b/tests/test_full_servers.py
@@ -7,7 +7,8 @@
 
 from siskinpier.core.routing.last_slots import is_last_slot_harmful, record_run
 from siskinpier.core.state import ServiceRuntime
-from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 HOSTS = {"h1": "d1", "h2": "d1", "h3": "d1"}
 SLOTS = 3
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -15,9 +15,9 @@
 from siskinpier.core.routing.isolation import run_isolation_check
 from siskinpier.core.state import IsolationStatus
 from siskinpier.core.verdict import Verdict
+from tests.standins.scripted_server import ScriptedServer
 from tests.standins.slot_world import (
     VIRTUAL_HOST,
-    ScriptedServer,
     ServerCut,
     SlotWorld,
     make_call,
--- a/tests/test_misdirected.py
+++ b/tests/test_misdirected.py
@@ -7,7 +7,8 @@
 import pytest
 
 from siskinpier.core.configuration.intents import ServiceIntent
-from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 HOSTS = {"h1": "d1", "h2": "d1"}
 CALLS = 100
--- a/tests/test_noisy_neighbours.py
+++ b/tests/test_noisy_neighbours.py
@@ -14,13 +14,8 @@
 import pytest
 
 from siskinpier.core.configuration.intents import ServiceIntent
-from tests.standins.slot_world import (
-    Neighbours,
-    ScriptedServer,
-    SlotWorld,
-    get_work_factor,
-    make_route,
-)
+from tests.standins.scripted_server import Neighbours, ScriptedServer, get_work_factor
+from tests.standins.slot_world import SlotWorld, make_route
 
 HOSTS = {f"h{n}": "d1" for n in range(3)}
 SERVERS = 8
--- a/tests/test_placement_homes.py
+++ b/tests/test_placement_homes.py
@@ -8,7 +8,8 @@
     place_service,
 )
 from siskinpier.core.configuration.intents import BackendServer, ServiceIntent
-from tests.standins.slot_world import ScriptedServer, SlotWorld
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld
 
 HOSTS = [LiveHost(name=f"h{n}", failure_domain="d1") for n in range(8)]
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -18,7 +18,8 @@
     RATE_LIMIT_HEADER as PLATFORM_RATE_LIMIT_HEADER,
     PlatformHeaderAdapter,
 )
-from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 # The users' rule: requests in any 4 s, from 3 s after a server first named its limit.
 WINDOW_S: Final = 4.0
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -17,7 +17,8 @@
 from siskinpier.core.positions import StorePosition
 from siskinpier.core.reducer import reduce
 from siskinpier.core.timers import RelayDue
-from tests.standins.slot_world import ScriptedServer, SlotWorld
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld
 
 # Time in which a new configuration must be in force, and the part of it that a relay
 # may take to detect that the platform does not answer.
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -12,7 +12,8 @@
 
 from siskinpier.core.configuration.intents import ServiceIntent
 from siskinpier.core.messages import SlotGrant, SlotRequest
-from tests.standins.slot_world import SETTINGS, ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SETTINGS, SlotWorld, make_route
 
 # The rule: in any window, second arrivals may number this share of the calls plus this
 # slack.
--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -12,7 +12,8 @@
 from siskinpier.core.events import ServersChanged
 from siskinpier.core.messages import RegisteredServer
 from siskinpier.core.positions import StorePosition
-from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 # Time for a report to reach the hosts of one failure domain, and of all, in seconds.
 DOMAIN_BOUND_S = 0.3
--- a/tests/test_slot_counts.py
+++ b/tests/test_slot_counts.py
@@ -5,7 +5,8 @@
 import pytest
 
 from siskinpier.core.routing.slot_counts import recount_slots
-from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 HOSTS = {"h1": "d1", "h2": "d1", "h3": "d2"}
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -15,7 +15,8 @@
 )
 from siskinpier.core.reducer import reduce
 from siskinpier.core.verdict import Verdict
-from tests.standins.slot_world import ScriptedServer, SlotWorld, make_route
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 HOSTS = {"h1": "d1", "h2": "d1", "h3": "d1"}
 
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -13,13 +13,8 @@
 
 from siskinpier.core.configuration.intents import ServiceIntent
 from siskinpier.core.routing.slow_periods import SlowPeriods
-from tests.standins.slot_world import (
-    QUICK_PREFIX,
-    Neighbours,
-    ScriptedServer,
-    SlotWorld,
-    make_route,
-)
+from tests.standins.scripted_server import QUICK_PREFIX, Neighbours, ScriptedServer
+from tests.standins.slot_world import SlotWorld, make_route
 
 DOMAINS = 5
 HOSTS = {f"h{n}": f"d{n % DOMAINS}" for n in range(20)}
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -21,7 +21,8 @@
 from tests.standins.app_thread import AppThread
 from tests.standins.metadata_store import MetadataStore
 from tests.standins.platform_host import make_entry, run_deployment, wait_until
-from tests.standins.slot_world import ScriptedServer, SlotWorld
+from tests.standins.scripted_server import ScriptedServer
+from tests.standins.slot_world import SlotWorld
 
 HOSTS: Final = {"h1": "d1", "h2": "d1", "h3": "d1"}
 KIND: Final = "servers"
