Log which hosts reach servers apart from which are live

With many isolated hosts each change would have logged the names of all hosts again. A line serving names the isolated ones only. test_docs.py and test_isolation.py pass.

--- a/src/siskinpier/core/cluster/views.py
+++ b/src/siskinpier/core/cluster/views.py
@@ -82,12 +82,14 @@
     serving = tuple(host.name for host in serving_hosts)
     if names == state.live and serving == state.serving:
         return
-    fields: dict[str, object] = {"live": ",".join(names)}
-    if serving != names:
-        fields["isolated"] = ",".join(sorted(set(names) - set(serving)))
+    if names != state.live:
+        out.append(LogDecision(event="view", fields={"live": ",".join(names)}))
+    else:
+        isolated = ",".join(sorted(set(names) - set(serving)))
+        fields: dict[str, object] = {"hosts": len(serving), "isolated": isolated}
+        out.append(LogDecision(event="serving", fields=fields))
     state.live = names
     state.serving = serving
-    out.append(LogDecision(event="view", fields=fields))
     for service in state.services.values():
         update_service_placement(state, service, serving_hosts)
 
