Tell a host of a later incarnation of it that only other domains remember

Cause, from the logs: all hosts of the other domain had started again, one of them, the home of the service, with its clock an hour back. This domain knew it as silent with a later incarnation, so it passed over the heartbeats of the earlier one, and the host never heard of it: reports of silence count only from its own domain, whose hosts were all new. Class: who knows better keeps it to itself.

Now the host that passes over such a heartbeat sends the later record to its sender, which raises its incarnation. An old heartbeat that comes late costs one message and changes nothing.

test_delegates.py::TestViews::test_earlier_clock_that_only_other_domains_remember failed in 5 of 5 cases and passes.

--- a/src/siskinpier/core/cluster/heartbeats.py
+++ b/src/siskinpier/core/cluster/heartbeats.py
@@ -40,6 +40,7 @@
     Member,
     get_status,
     is_believed_alive,
+    make_record,
     merge_heartbeat,
     merge_listed,
     remove_silent,
@@ -243,6 +244,7 @@
     before = _get_status(known)
     was_alive = known is not None and is_believed_alive(known, event.now)
     if not merge_heartbeat(state.members, heartbeat, event.now):
+        _report_later_incarnation(state, heartbeat, out)
         return
     state.last_heard = event.now
     member = state.members[heartbeat.host]
@@ -268,6 +270,24 @@
     sync_if_digests_differ(state, member, heartbeat, event.now, out)
 
 
+def _report_later_incarnation(
+    state: HostState, heartbeat: Heartbeat, out: list[Effect]
+) -> None:
+    """Tell a host of a later incarnation of it, which makes it raise its own.
+
+    Its clock may have been ahead when an earlier process of it started.
+    """
+    member = state.members.get(heartbeat.host)
+    if member is None or heartbeat.incarnation >= member.incarnation:
+        return
+    notice = MembersNotice(
+        failure_domain=state.identity.failure_domain, records=(make_record(member),)
+    )
+    out.append(
+        SendMessage(host=heartbeat.host, address=heartbeat.peers, message=notice)
+    )
+
+
 def handle_peer_refused(
     state: HostState, event: PeerRefused, out: list[Effect]
 ) -> None:
--- a/tests/test_delegates.py
+++ b/tests/test_delegates.py
@@ -95,6 +95,20 @@
         world.run_for(ANNOUNCEMENT_LIMIT_S)
         assert len(list_viewers(world, victim)) == len(world.states) - 1
 
+    @pytest.mark.parametrize("index", range(5))
+    def test_earlier_clock_that_only_other_domains_remember(self, index: int) -> None:
+        # All hosts of a domain start anew, one of them with a lower incarnation.
+        world = make_world()
+        names = [name for name, domain in world.domains.items() if domain == "d0"]
+        victim = names[index]
+        world.dead.update(names)
+        world.run_for(DOMAIN_SILENCE_S + VIEW_UPDATE_LIMIT_S)
+        world.dead.clear()
+        for name in names:
+            world.restart(name, incarnation_step=-1 if name == victim else 1)
+        world.run_for(RECOVERY_LIMIT_S)
+        assert len(list_viewers(world, victim)) == len(world.states) - 1
+
     @pytest.mark.parametrize("index", [0, 1])
     def test_frozen_delegate(self, index: int) -> None:
         world = make_world()
