--- a/src/siskinpier/core/routing/rate_limits.py
+++ b/src/siskinpier/core/routing/rate_limits.py
@@ -6,7 +6,7 @@
 """
 
 from ..effects import Effect, LogDecision
-from ..state import HostState, RateLimitKey, ServiceRuntime
+from ..state import HostState, RateLimitKey
 from .balance import ServerRuntime
 from .rate_limit_tokens import FOREIGN_SHARE, RateLimit, update_bucket
 
@@ -80,11 +80,6 @@
         state.rate_limits.pop(RateLimitKey(service=service, server=name), None)
 
 
-def list_limited_servers(service: ServiceRuntime) -> list[ServerRuntime]:
-    """Return the owned servers of a service that name a limit."""
-    return [server for server in service.owned if server.rate_limit is not None]
-
-
 def _find_server(state: HostState, key: RateLimitKey) -> ServerRuntime | None:
     service = state.services.get(key.service)
     return service.servers.get(key.server) if service is not None else None
