--- a/review/standins-2/lib.py
+++ b/review/standins-2/lib.py
@@ -176,6 +176,8 @@
         super().__init__()
         self.objects, self.events = {}, []
         self.revision, self.mode = 10, ""
+        # The era in every answer; None sends none.
+        self.era = None
         self._changed = asyncio.Event()
 
     def put(self, kind, name, spec=None, status=None):
@@ -196,6 +198,18 @@
         self._notify((self.revision, kind, item, False))
         return item
 
+    def make_copy(self):
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy):
+        """Come back from an older copy: revisions go back, and a new era begins."""
+        self.revision, objects = copy
+        self.objects = dict(objects)
+        self.events = [event for event in self.events if event[0] <= self.revision]
+        self.era = (self.era or 0) + 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def delete(self, kind, name):
         item = self.objects.pop((kind, name), None)
         if item is not None:
@@ -233,6 +247,8 @@
     async def _watch(self, kind, params):
         since, until = int(params["watch"]), time.monotonic() + int(params["waitMs"]) / 1e3
         while True:
+            if since > self.revision:
+                return self._reply(410, {"error": "no such revision"})
             changed = self._changed
             rows = [e for e in self.events if e[0] > since and e[1] == kind]
             left_s = until - time.monotonic()
@@ -263,6 +279,8 @@
 
     def _reply(self, status, document):
         headers = {"Content-Type": "application/json"}
+        if self.era is not None:
+            headers["Store-Era"] = str(self.era)
         return status, headers, json.dumps(document).encode()
 
 
@@ -540,8 +558,8 @@
 class Caller:
     """Sends requests to hosts and records them; each has an id of its own."""
 
-    def __init__(self, record):
-        self.record, self.sent = record, 0
+    def __init__(self, record, prefix="r"):
+        self.record, self.sent, self.prefix = record, 0, prefix
         # Of each request: id, time of sending, time of the answer, host, target, reply.
         self.results = []
 
@@ -549,7 +567,7 @@
         self, host, target, *, method="GET", body=b"", deadline_s=3.0, own_ip=None
     ):
         self.sent += 1
-        request_id = f"r{self.sent}"
+        request_id = f"{self.prefix}{self.sent}"
         at = self.record.now()
         self.record.add(
             "sent", id=request_id, host=host.name, method=method, target=target
