--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,7 @@
-"""A host that is partitioned from all upstreams sends requests beyond their attempts.
+"""A configuration that raises `headerBytes` is not in force on most hosts.
 
-The route allows one upstream for each client attempt. One of three hosts is partitioned
-from all upstreams; callers, the store and the other hosts still reach it.
+The operator raises the limit, and callers send requests within it, of which every host
+but one refuses those with a long header.
 """
 
 import asyncio
@@ -14,8 +14,6 @@
 from lib import (  # noqa: E402
     Caller,
     Host,
-    Partition,
-    PartitionableLink,
     Store,
     Upstream,
     make_configuration,
@@ -24,27 +22,33 @@
     wait_until_ready,
 )
 
-ATTEMPTS = 1
-ROUTES = [("/search/", "films", "safe", 4.0, ATTEMPTS)]
-HOSTS, UPSTREAMS = 3, 16
-CALL_INTERVAL_S = 0.025
-WORK_S = 0.8
-DEADLINE_S = 4.0
-BEFORE_S, CUT_S, AFTER_S = 5.0, 5.0, 4.0
-# More requests than this that run on too many upstreams break the rule.
-ALLOWED = 3
+ROUTES = [("/search/", "films", "safe", 2.0, 2)]
+HOSTS = 6
+CALL_INTERVAL_S = 0.04
+OLD_LIMIT_BYTES, NEW_LIMIT_BYTES = 16_384, 65_536
+# Bytes of the cookie that a part of the requests bears, within each limit.
+OLD_COOKIE_BYTES, NEW_COOKIE_BYTES = 8_000, 40_000
+COOKIE_EVERY = 3
+# Longer than `configApplyS` (2) and `maxStretchS` (5) together.
+APPLY_S, CALL_S = 10.0, 15.0
+# Refusals that the rule allows: 5, and one in 500 of all requests.
+ALLOWED, ALLOWED_SHARE = 5, 1 / 500
+OWN_REFUSALS = range(300, 500)
+EXCEPTED = {408, 421, 429}
 
 
-async def call_steadily(caller, hosts):
+async def call_steadily(caller, hosts, cookie_bytes):
     calls = set()
     number = 0
     try:
         while True:
             number += 1
+            headers = {}
+            if number % COOKIE_EVERY == 0:
+                headers["Cookie"] = "session=" + "x" * cookie_bytes
+            host = hosts[number // COOKIE_EVERY % len(hosts)]
             call = asyncio.ensure_future(
-                caller.call(
-                    hosts[number % len(hosts)], f"/search/{number}", deadline_s=DEADLINE_S
-                )
+                caller.call(host, f"/search/{number}", headers=headers)
             )
             calls.add(call)
             call.add_done_callback(calls.discard)
@@ -56,23 +60,22 @@
 async def run(record, hosts, has_trouble):
     store = Store()
     await store.start()
-    store.put("config", "main", make_configuration(7, ROUTES, ["films"]), {})
-    partition = Partition()
-    upstreams = []
-    for n in range(UPSTREAMS):
-        link = PartitionableLink("127.0.0.1", partition)
-        await link.start()
-        upstream = Upstream(
-            store, record, name=f"i-{n}", service="films", zone="z0", work_s=WORK_S
+    first = make_configuration(7, ROUTES, ["films"])
+    first["limits"]["headerBytes"] = OLD_LIMIT_BYTES
+    store.put("config", "main", first, {})
+    upstreams = [
+        Upstream(
+            store, record, name=f"i-{n}", service="films", zone=f"z{n % 2}", work_s=0.02
         )
-        upstream.told = link.address
+        for n in range(6)
+    ]
+    for upstream in upstreams:
         await upstream.start()
-        link.target = upstream.address
-        upstreams.append(upstream)
     with make_folder() as folder:
         hosts += [
             Host(
-                folder, record, store, name=f"front-{n}", zone="z0", ip=f"127.0.90.{n + 1}"
+                folder, record, store, name=f"front-{n}", zone=f"z{n % 2}",
+                ip=f"127.0.91.{n + 1}",
             )
             for n in range(HOSTS)
         ]
@@ -80,28 +83,32 @@
             host.start()
         await wait_until_ready(hosts)
         caller = Caller(record)
-        traffic = asyncio.ensure_future(call_steadily(caller, hosts))
-        await asyncio.sleep(BEFORE_S)
-        pid = hosts[0].child.pid
-        if has_trouble:
-            record.add("partitioned", host=hosts[0].name)
-            partition.cut(pid)
-        await asyncio.sleep(CUT_S)
+        before = asyncio.ensure_future(call_steadily(caller, hosts, OLD_COOKIE_BYTES))
+        await asyncio.sleep(5)
         if has_trouble:
-            partition.heal(pid)
-            record.add("healed", host=hosts[0].name)
-        await asyncio.sleep(AFTER_S)
-        traffic.cancel()
-        await asyncio.gather(traffic, return_exceptions=True)
-    ran_on = {}
-    for upstream in upstreams:
-        for _, request_id in upstream.runs:
-            ran_on.setdefault(request_id, set()).add(upstream.name)
-    beyond = {r: sorted(names) for r, names in ran_on.items() if len(names) > ATTEMPTS}
-    statuses = [reply.status for *_, reply in caller.results]
-    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
-    record.add("result", answers=counts, beyond=len(beyond), which=beyond)
-    return len(beyond) > ALLOWED
+            second = make_configuration(9, ROUTES, ["films"])
+            second["limits"]["headerBytes"] = NEW_LIMIT_BYTES
+            store.put("config", "main", second)
+            record.add("acknowledged", version=9, header_bytes=NEW_LIMIT_BYTES)
+        await asyncio.sleep(APPLY_S)
+        before.cancel()
+        await asyncio.gather(before, return_exceptions=True)
+        cookie_bytes = NEW_COOKIE_BYTES if has_trouble else OLD_COOKIE_BYTES
+        record.add("cookies", bytes=cookie_bytes)
+        after = asyncio.ensure_future(call_steadily(caller, hosts, cookie_bytes))
+        await asyncio.sleep(CALL_S)
+        after.cancel()
+        await asyncio.gather(after, return_exceptions=True)
+    counts, by_host, refused = {}, {}, 0
+    for _, _, _, host, _, reply in caller.results:
+        counts[reply.status] = counts.get(reply.status, 0) + 1
+        is_own = "x-response-signature" not in reply.headers
+        if is_own and reply.status in OWN_REFUSALS and reply.status not in EXCEPTED:
+            refused += 1
+            by_host[host] = by_host.get(host, 0) + 1
+    allowed = ALLOWED + ALLOWED_SHARE * len(caller.results)
+    record.add("result", answers=counts, refused=refused, by_host=by_host, allowed=allowed)
+    return refused > allowed
 
 
 run_case(run, FOLDER)
--- a/review/standins-2/lib.py
+++ b/review/standins-2/lib.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.5
+HEAD_LIMIT_BYTES = 262_144
 BOUNDS = {
     "seedLagS": "3",
     "addressReuseS": "2",
@@ -111,7 +112,7 @@
 
     async def start(self):
         self._server = await asyncio.start_server(
-            self._serve, self.ip, self.port, reuse_address=True
+            self._serve, self.ip, self.port, reuse_address=True, limit=HEAD_LIMIT_BYTES
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -564,7 +565,15 @@
         self.results = []
 
     async def call(
-        self, host, target, *, method="GET", body=b"", deadline_s=3.0, own_ip=None
+        self,
+        host,
+        target,
+        *,
+        method="GET",
+        headers=None,
+        body=b"",
+        deadline_s=3.0,
+        own_ip=None,
     ):
         self.sent += 1
         request_id = f"{self.prefix}{self.sent}"
@@ -573,6 +582,7 @@
             "sent", id=request_id, host=host.name, method=method, target=target
         )
         headers = {
+            **(headers or {}),
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(int(deadline_s * 1000)),
         }
