--- a/review/standins-2/lib.py
+++ b/review/standins-2/lib.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import os
-import re
 import signal
 import socket
 import subprocess
@@ -177,8 +176,6 @@
         super().__init__()
         self.objects, self.events = {}, []
         self.revision, self.mode = 10, ""
-        # The era in every answer; None sends none.
-        self.era = None
         self._changed = asyncio.Event()
 
     def put(self, kind, name, spec=None, status=None):
@@ -199,18 +196,6 @@
         self._notify((self.revision, kind, item, False))
         return item
 
-    def make_copy(self):
-        return self.revision, dict(self.objects)
-
-    def restore(self, copy):
-        """Come back from an older copy: revisions go back, and a new era begins."""
-        self.revision, objects = copy
-        self.objects = dict(objects)
-        self.events = [event for event in self.events if event[0] <= self.revision]
-        self.era = (self.era or 0) + 1
-        self._changed.set()
-        self._changed = asyncio.Event()
-
     def delete(self, kind, name):
         item = self.objects.pop((kind, name), None)
         if item is not None:
@@ -280,8 +265,6 @@
 
     def _reply(self, status, document):
         headers = {"Content-Type": "application/json"}
-        if self.era is not None:
-            headers["Store-Era"] = str(self.era)
         return status, headers, json.dumps(document).encode()
 
 
@@ -297,8 +280,6 @@
         self.store, self.record = store, record
         self.name, self.service, self.zone, self.slots = name, service, zone, slots
         self.work_s, self.limit, self.is_leaving = work_s, None, False
-        # The address in its entry, if a proxy stands before it.
-        self.told = ""
         # Of each request that arrived: time, id, deadline.
         self.arrivals, self.runs = [], []
         self._running = self._waiting = 0
@@ -327,7 +308,7 @@
     def write_entry(self):
         self._sequence += 1
         spec = {
-            "address": self.told or self.address,
+            "address": self.address,
             "info": {
                 "service": self.service,
                 "version": "1",
@@ -643,13 +624,12 @@
     """A proxy in front of one address.
 
     `silence` makes the connections that are open then pass on nothing more, in both
-    directions and without a reset; new ones work. `set_cut` refuses all.
+    directions and without a reset; new ones work.
     """
 
     def __init__(self, ip, target):
         self.ip, self.target, self.port = ip, target, 0
         self._server, self._pipes, self._writers = None, set(), set()
-        self.is_cut = False
 
     @property
     def address(self):
@@ -664,16 +644,7 @@
             pipe.cancel()
         return len(self._pipes)
 
-    def set_cut(self, is_cut):
-        self.is_cut = is_cut
-        if is_cut:
-            for writer in list(self._writers):
-                writer.transport.abort()
-
     async def _accept(self, reader, writer):
-        if self.is_cut:
-            writer.transport.abort()
-            return
         try:
             ip, _, port = self.target.rpartition(":")
             far_reader, far_writer = await asyncio.open_connection(ip, int(port))
@@ -697,82 +668,3 @@
             self._writers.add(sink)
         except OSError:
             sink.transport.abort()
-
-
-def list_ports_of(pid, ports):
-    """Return which of these local ports belong to loopback TCP sockets of a process."""
-    inodes = set()
-    for entry in Path(f"/proc/{pid}/fd").iterdir():
-        try:
-            inodes.add(os.readlink(entry))
-        except OSError:
-            continue
-    table = Path("/proc/net/tcp").read_bytes()
-    found = set()
-    for port in ports:
-        for match in re.finditer(rb"\n *\d+: 0100007F:%04X [^\n]*" % port, table):
-            inode = match[0].split()[9].decode()
-            if f"socket:[{inode}]" in inodes:
-                found.add(port)
-    return found
-
-
-class Partition:
-    """The hosts that are cut off from the upstreams behind `PartitionableLink`s."""
-
-    # New connections are looked up together, as a look-up takes milliseconds.
-    INTERVAL_S = 0.02
-
-    def __init__(self):
-        self.pids, self.links, self._waiting = set(), [], {}
-
-    def cut(self, pid):
-        """Cut a host off: its open connections pass on nothing more."""
-        self.pids.add(pid)
-        ports = [port for link in self.links for port in link.pipes_of]
-        for port in list_ports_of(pid, ports):
-            for link in self.links:
-                for pipe in link.pipes_of.get(port, ()):
-                    pipe.cancel()
-
-    def heal(self, pid):
-        self.pids.discard(pid)
-
-    async def is_cut(self, port):
-        """Return True if a new connection is of a host that is cut off."""
-        if not self.pids:
-            return False
-        if not self._waiting:
-            asyncio.get_running_loop().call_later(
-                self.INTERVAL_S, lambda: asyncio.ensure_future(self._look_up())
-            )
-        return await self._waiting.setdefault(port, asyncio.Future())
-
-    async def _look_up(self):
-        waiting, self._waiting = self._waiting, {}
-        found = set()
-        for pid in self.pids:
-            found |= await asyncio.to_thread(list_ports_of, pid, list(waiting))
-        for port, future in waiting.items():
-            if not future.done():
-                future.set_result(port in found)
-
-
-class PartitionableLink(Link):
-    """A proxy in front of an upstream that resets new connections of cut hosts."""
-
-    def __init__(self, ip, partition):
-        super().__init__(ip, "")
-        self.pipes_of, self._partition = {}, partition
-        partition.links.append(self)
-
-    async def _accept(self, reader, writer):
-        port = writer.get_extra_info("peername")[1]
-        if await self._partition.is_cut(port):
-            writer.transport.abort()
-            return
-        before = set(self._pipes)
-        await super()._accept(reader, writer)
-        pipes = self.pipes_of[port] = self._pipes - before
-        for pipe in pipes:
-            pipe.add_done_callback(lambda _: self.pipes_of.pop(port, None))
